--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Every target does its own set-up: a virtual environment, the pinned
+# packages of requirements.lock and the six packages of the workspace.
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+PACKAGES = jujubebend jujubebend-wire jujubebend-platform jujubebend-standin jujubebend-entry jujubebend-ctl
+SOURCES = packages tests properties benchmarks
+
+.PHONY: demo test lint format unit scenarios sweep bench proto
+
+$(VENV)/ready: requirements.lock $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+demo: $(VENV)/ready
+	$(BIN)/jujubebend try
+
+lint: $(VENV)/ready
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+
+format: $(VENV)/ready
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
+
+unit: $(VENV)/ready
+	$(BIN)/python -m pytest
+
+test: lint unit
+
+bench: $(VENV)/ready
+	$(BIN)/python -m benchmarks
+
+proto: $(VENV)/ready
+	$(BIN)/python -m grpc_tools.protoc -Ipackages/jujubebend-wire/src --python_out=packages/jujubebend-wire/src --grpc_python_out=packages/jujubebend-wire/src packages/jujubebend-wire/src/jujubebend_wire/entry.proto
--- /dev/null
+++ b/packages/jujubebend-ctl/src/jujubebend_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command of operators and callers."""
--- /dev/null
+++ b/packages/jujubebend-entry/src/jujubebend_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on every entry host."""
--- /dev/null
+++ b/packages/jujubebend-entry/src/jujubebend_entry/door.py
@@ -0,0 +1,192 @@
+"""The HTTP interface towards callers, balancers and operators."""
+
+from __future__ import annotations
+
+import asyncio
+import http
+from collections import abc
+
+import attrs
+import eliot
+
+from jujubebend import errors, outcome, resources
+from jujubebend_entry import callers, dispatcher, home, metrics
+from jujubebend_platform import httpmessage
+
+JOB_SECONDS = 10.0
+MILLI = 1000
+TEXT_TYPE = 'text/plain; charset=utf-8'
+JOBS = '/v1/jobs'
+REQUESTS = '/v1/requests'
+
+
+@attrs.define(eq=False)
+class Door:
+    """Answers HTTP requests from the parts of this host.
+
+    ``describe`` gives the state of the whole process, ``largest`` what the
+    largest known worker holds.
+    """
+
+    dispatcher: dispatcher.Dispatcher
+    home: home.Home
+    metrics: metrics.Metrics
+    describe: abc.Callable[[], dict]
+    largest: abc.Callable[[], list[resources.Resources]]
+    ready: bool = False
+    draining: bool = False
+    open_requests: int = 0
+
+    async def handle(self, req: httpmessage.Request) -> httpmessage.Reply:
+        """Answer one request."""
+        self.open_requests += 1
+        try:
+            reply = await self._route(req)
+        except errors.InvalidInputError as exc:
+            reply = callers.invalid(exc)
+        except errors.JujubebendError as exc:
+            reply = callers.unknown(str(exc))
+        except Exception as exc:  # noqa: BLE001, WPS429
+            error = f'{type(exc).__name__}: {exc}'
+            eliot.log_message('door:error', error=error, path=req.path)
+            reply = callers.unknown('an internal error; see the logs')
+        finally:
+            self.open_requests -= 1
+        self.metrics.answered(req.method, reply.status)
+        return reply
+
+    async def _route(self, req: httpmessage.Request) -> httpmessage.Reply:
+        match (req.method, req.path):
+            case ('GET', '/healthz'):
+                return httpmessage.json_reply(200, {'status': 'alive'})
+            case ('GET', '/readyz'):
+                return self._readiness()
+            case ('GET', '/metrics'):
+                rendered = self.metrics.render()
+                return httpmessage.Reply(200, rendered, TEXT_TYPE)
+            case ('GET', '/state'):
+                return httpmessage.json_reply(200, self.describe())
+            case ('GET', '/v1/config'):
+                return self._config()
+            case ('POST', '/v1/requests'):
+                return await self._request(req)
+            case ('POST', '/v1/jobs'):
+                return await self._submit_job(req)
+            case ('GET' | 'DELETE', path) if path.startswith(f'{JOBS}/'):
+                return await self._job(req)
+        status = http.HTTPStatus.NOT_FOUND
+        return httpmessage.problem(
+            status,
+            f'{req.method} {req.path} does not exist; see the callers\' page',
+            outcome='not_run',
+        )
+
+    def _readiness(self) -> httpmessage.Reply:
+        if self.ready and not self.draining:
+            return httpmessage.json_reply(200, {'status': 'ready'})
+        status = http.HTTPStatus.SERVICE_UNAVAILABLE
+        return httpmessage.problem(status, 'starting or draining')
+
+    def _config(self) -> httpmessage.Reply:
+        current = self.home.platform.register.current
+        plain = {'revision': current.number, 'text': current.text}
+        return httpmessage.json_reply(200, plain)
+
+    async def _request(self, req: httpmessage.Request) -> httpmessage.Reply:
+        body = callers.read_request(req.body)
+        key = req.headers.get('idempotency-key', '')
+        if not body.idempotent:
+            callers.check_key(key)
+        now = asyncio.get_running_loop().time()
+        deadline = now + body.deadline_ms / MILLI
+        work = self.home.request_work(body, deadline)
+        self._check_size(body.resources)
+        if not self.ready:
+            return callers.not_run('this host is starting', 1)
+        if body.idempotent:
+            return await self._serve(req, work)
+        shard = self.home.shard_of(f'{body.team}/{key}')
+        call = home.Call(
+            'POST',
+            REQUESTS,
+            f'{body.team}/{key}',
+            req.body,
+            shard,
+            deadline,
+        )
+        return await self.home.route(call)
+
+    async def _serve(
+        self, req: httpmessage.Request, work: dispatcher.Work
+    ) -> httpmessage.Reply:
+        """Run idempotent work, unless its caller goes away first."""
+        began = asyncio.get_running_loop().time()
+        serving = asyncio.create_task(self.dispatcher.serve(work))
+        gone = asyncio.create_task(req.disconnected.wait())
+        try:
+            await asyncio.wait(
+                {serving, gone}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            gone.cancel()
+            if not serving.done():
+                serving.cancel()
+        try:
+            ended = await serving
+        except asyncio.CancelledError:
+            ended = outcome.Unknown('its caller went away')
+        now = asyncio.get_running_loop().time()
+        self.metrics.served(work.kind, ended.tag, now - began)
+        return callers.to_reply(ended)
+
+    async def _submit_job(
+        self, req: httpmessage.Request
+    ) -> httpmessage.Reply:
+        body = callers.read_job(req.body)
+        callers.check_names(self.home.text(), body.service, body.team)
+        for task in body.tasks:
+            self._check_size(task.resources)
+        if not self.ready:
+            return callers.not_run('this host is starting', 1)
+        given = req.headers.get('idempotency-key', '')
+        shard = self.home.own_shard()
+        key = home.new_key()
+        if given:
+            callers.check_key(given)
+            shard = self.home.shard_of(f'{body.team}/{given}')
+            key = callers.digest(f'{body.team}/{given}'.encode())
+        call = home.Call('POST', JOBS, key, req.body, shard, _job_deadline())
+        return await self.home.route(call)
+
+    async def _job(self, req: httpmessage.Request) -> httpmessage.Reply:
+        job_id = req.path.rpartition('/')[2]
+        shard = job_id.partition('.')[0]
+        if shard not in self.home.cfg.shards():
+            status = http.HTTPStatus.NOT_FOUND
+            return httpmessage.problem(status, f'job {job_id!r} does not exist')
+        call = home.Call(
+            req.method, req.path, '', b'', shard, _job_deadline()
+        )
+        return await self.home.route(call)
+
+    def _check_size(self, demand: resources.Resources) -> None:
+        """Refuse what no known worker could hold, naming what is short."""
+        largest = self.largest()
+        if not largest or any(demand.fits(one) for one in largest):
+            return
+        short = min(
+            (demand.shortage(one) for one in largest),
+            key=lambda name: name == 'slots',
+        )
+        fault = errors.Fault(
+            f'$.resources.{short}',
+            f'no worker holds that many {short}',
+            'ask for less',
+        )
+        raise errors.InvalidInputError('request', [fault])
+
+
+def _job_deadline() -> float:
+    return asyncio.get_running_loop().time() + JOB_SECONDS
+
+
--- /dev/null
+++ b/packages/jujubebend-entry/src/jujubebend_entry/keyed.py
@@ -0,0 +1,128 @@
+"""Requests that run at most once, each under a key of its caller."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import attrs
+
+from jujubebend import errors, outcome, records, retry
+from jujubebend_entry import attempts, callers, dispatcher, tasks
+from jujubebend_platform import httpmessage
+
+TASK = 'run'
+MISMATCH = 'the key was used before with another body; choose a new key'
+
+
+@attrs.define(eq=False)
+class _Flight:
+    digest: str
+    task: asyncio.Task
+
+
+@attrs.define(eq=False)
+class KeyedRequests:
+    """The keyed requests of one held shard.
+
+    All that come with one key share one flight and get one answer.
+    """
+
+    attempts: attempts.Attempts
+    _flights: dict[str, _Flight] = attrs.field(factory=dict)
+    _group: tasks.TaskGroup = attrs.field(factory=tasks.TaskGroup)
+
+    async def serve(
+        self, record_id: str, digest: str, work: dispatcher.Work
+    ) -> httpmessage.Reply:
+        """Run a request, join it, or repeat its answer.
+
+        Raises ``errors.FencedError`` when another host holds the shard.
+        """
+        known = self._known_digest(record_id)
+        if known and known != digest:
+            return httpmessage.problem(422, MISMATCH, outcome='not_run')
+        flight = self._flights.get(record_id)
+        if flight is None:
+            task = self._group.spawn(self._run(record_id, digest, work))
+            flight = _Flight(digest, task)
+            self._flights[record_id] = flight
+            task.add_done_callback(
+                lambda _: self._flights.pop(record_id, None),
+            )
+        return callers.to_reply(await self._join(flight, work.deadline))
+
+    def in_flight(self) -> int:
+        """Return how many requests are being run."""
+        return len(self._flights)
+
+    async def close(self) -> None:
+        """Stop; the journal keeps what was begun."""
+        await self._group.close()
+
+    async def _join(
+        self, flight: _Flight, deadline: float
+    ) -> outcome.Outcome:
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await asyncio.shield(flight.task)
+        except TimeoutError:
+            return outcome.Unknown('it goes on; ask again with the same key')
+        except asyncio.CancelledError:
+            if flight.task.cancelled():
+                raise errors.FencedError('the shard was given up') from None
+            raise
+
+    def _known_digest(self, record_id: str) -> str:
+        flight = self._flights.get(record_id)
+        if flight is not None:
+            return flight.digest
+        record = self.attempts.shard.records.by_id.get(record_id)
+        return record.digest if record is not None else ''
+
+    async def _run(
+        self, record_id: str, digest: str, work: dispatcher.Work
+    ) -> outcome.Outcome:
+        budget = retry.Budget()
+        while True:
+            ended = await self._run_once(record_id, digest, work)
+            if not isinstance(ended, outcome.NotRun) or ended.retry_after:
+                return ended
+            if work.deadline <= _now() or not budget.allows():
+                return ended
+
+    async def _run_once(
+        self, record_id: str, digest: str, work: dispatcher.Work
+    ) -> outcome.Outcome:
+        record = self.attempts.shard.records.by_id.get(record_id)
+        if record is not None:
+            task = record.tasks[TASK]
+            if task.outcome is not None:
+                return outcome.from_record(task.outcome)
+            if task.intent is not None:
+                return await self.attempts.wait_end(task.intent.attempt)
+        if self.attempts.shard.is_full():
+            return outcome.NotRun('its shard can record no more now', 5)
+        try:
+            return await self._attempt(record_id, digest, work)
+        except errors.RefusedError as exc:
+            return outcome.NotRun(exc.reason, exc.retry_after or 1)
+        except errors.UnreachableError as exc:
+            # No start left this host: an intent written late is settled as
+            # one that never ran.
+            return outcome.NotRun(str(exc), 2)
+
+    async def _attempt(
+        self, record_id: str, digest: str, work: dispatcher.Work
+    ) -> outcome.Outcome:
+        grant = await self.attempts.dispatcher.place(work)
+        accepted = records.Accepted(
+            record_id, records.REQUEST, [TASK], '', digest, time.time()
+        )
+        launch = attempts.Launch(TASK, work, grant)
+        ends = await self.attempts.launch(record_id, [launch], [accepted])
+        return await ends[0]
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/jujubebend-entry/src/jujubebend_entry/main.py
@@ -0,0 +1,69 @@
+"""The command ``jujubebendd``: one daemon, until SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import signal
+import sys
+import typing
+
+import eliot
+import typer
+
+from jujubebend import errors
+from jujubebend_entry import app as entry_app
+from jujubebend_entry import settings
+
+BAD_INPUT = 2
+
+cli = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+
+@cli.command()
+def serve(
+    settings_file: typing.Annotated[
+        pathlib.Path, typer.Option('--settings', help='JSON with comments.')
+    ],
+) -> None:
+    """Run the daemon of an entry host until SIGTERM, then drain."""
+    try:
+        cfg = settings.load(settings_file)
+    except errors.InvalidInputError as exc:
+        typer.echo(str(exc), err=True)
+        raise typer.Exit(BAD_INPUT) from exc
+    _open_log(cfg)
+    try:
+        asyncio.run(run_until_signal(cfg))
+    except OSError as exc:
+        typer.echo(f'{settings_file}: {exc}; free the address', err=True)
+        raise typer.Exit(BAD_INPUT) from exc
+
+
+async def run_until_signal(cfg: settings.Settings) -> None:
+    """Run a daemon until SIGTERM or SIGINT asks it to drain."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    app = entry_app.build(cfg)
+    await app.start()
+    await stopped.wait()
+    await app.stop()
+
+
+def run() -> None:
+    """Run the command line."""
+    cli()
+
+
+def _open_log(cfg: settings.Settings) -> None:
+    if cfg.log_file:
+        target = open(cfg.log_file, 'a', buffering=1)  # noqa: SIM115
+        eliot.to_file(target)
+    else:
+        eliot.to_file(sys.stdout)
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/packages/jujubebend-entry/src/jujubebend_entry/peers.py
@@ -0,0 +1,72 @@
+"""Calls to the other entry hosts, over gRPC."""
+
+from __future__ import annotations
+
+import attrs
+import grpc
+
+from jujubebend import errors, resources
+from jujubebend_wire import entry_pb2, entry_pb2_grpc
+
+BEAT_TIMEOUT = 1.0
+CALL_TIMEOUT = 2.0
+LARGEST_MESSAGE_BYTES = 64 * 2**20
+OPTIONS = (
+    ('grpc.max_receive_message_length', LARGEST_MESSAGE_BYTES),
+    ('grpc.max_send_message_length', LARGEST_MESSAGE_BYTES),
+    ('grpc.initial_reconnect_backoff_ms', 200),
+    ('grpc.max_reconnect_backoff_ms', 1000),
+    ('grpc.enable_retries', 0),
+    ('grpc.so_reuseport', 0),
+)
+
+
+@attrs.define(eq=False)
+class Peers:
+    """Stubs by address, opened when first used.
+
+    ``call`` raises ``errors.UnreachableError`` when no answer came; what
+    was asked may have been done.
+    """
+
+    _channels: dict[str, grpc.aio.Channel] = attrs.field(factory=dict)
+    _stubs: dict[str, entry_pb2_grpc.EntryStub] = attrs.field(factory=dict)
+
+    async def call(
+        self, address: str, method: str, message: object, timeout: float
+    ) -> object:
+        """Call one method of the host at ``address``."""
+        stub = self._stub(address)
+        try:
+            return await getattr(stub, method)(message, timeout=timeout)
+        except grpc.aio.AioRpcError as exc:
+            cause = f'{exc.code().name} {exc.details()}'
+        raise errors.UnreachableError(f'{method} at {address}: {cause}')
+
+    async def close(self) -> None:
+        """Close every channel."""
+        for channel in self._channels.values():
+            await channel.close()
+
+    def _stub(self, address: str) -> entry_pb2_grpc.EntryStub:
+        if address not in self._stubs:
+            channel = grpc.aio.insecure_channel(address, options=OPTIONS)
+            self._channels[address] = channel
+            self._stubs[address] = entry_pb2_grpc.EntryStub(channel)
+        return self._stubs[address]
+
+
+def to_amounts(amounts: resources.Resources) -> entry_pb2.Amounts:
+    """Return the message form of amounts."""
+    return entry_pb2.Amounts(**attrs.asdict(amounts))
+
+
+def from_amounts(message: entry_pb2.Amounts) -> resources.Resources:
+    """Return amounts from their message form."""
+    return resources.Resources(
+        message.slots,
+        message.connections,
+        message.milli_cpus,
+        message.memory_bytes,
+        message.accelerators,
+    )
--- /dev/null
+++ b/packages/jujubebend-platform/src/jujubebend_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: store, host list and workers, over HTTP."""
--- /dev/null
+++ b/packages/jujubebend-standin/src/jujubebend_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the platform: store, host list and worker."""
--- /dev/null
+++ b/packages/jujubebend-standin/src/jujubebend_standin/hostlist.py
@@ -0,0 +1,26 @@
+"""A stand-in of the platform's host list."""
+
+from __future__ import annotations
+
+import attrs
+
+from jujubebend_platform import hostlist, httpmessage
+
+
+@attrs.define(eq=False)
+class HostListFake:
+    """Serves a list and lets a scenario change the state of a host."""
+
+    listed: hostlist.HostList
+
+    async def handle(self, req: httpmessage.Request) -> httpmessage.Reply:
+        """Serve one call."""
+        if req.method == 'GET':
+            return httpmessage.json_reply(200, hostlist.to_json(self.listed))
+        body = httpmessage.Reply(0, req.body).json()
+        hosts = [
+            attrs.evolve(host, state=body.get(host.name, host.state))
+            for host in self.listed.hosts
+        ]
+        self.listed = hostlist.HostList(self.listed.revision + 1, hosts)
+        return httpmessage.json_reply(200, {})
--- /dev/null
+++ b/packages/jujubebend-wire/src/jujubebend_wire/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between entry hosts: messages and their generated code."""
--- /dev/null
+++ b/packages/jujubebend/src/jujubebend/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts of a cluster scheduler, without I/O or clocks."""
--- /dev/null
+++ b/packages/jujubebend/src/jujubebend/manifest.py
@@ -0,0 +1,272 @@
+"""The operators' text: services, their dependencies, teams and kinds.
+
+The text is YAML. ``parse`` either returns the whole manifest or raises with
+every fault, each with its line.
+"""
+
+from __future__ import annotations
+
+import graphlib
+from collections import abc
+
+import attrs
+import yaml
+
+from jujubebend import errors, resources, structure
+
+URGENT = 'urgent'
+PATIENT = 'patient'
+CLASSES = (URGENT, PATIENT)
+POLICIES = ('service', 'batch', 'gang')
+NAME = attrs.validators.matches_re('[a-z0-9][a-z0-9-]{0,62}')
+DEFAULT_QUEUE_LIMIT = 500
+DEFAULT_ATTEMPTS = 3
+DEFAULT_DEADLINE_MS = 30_000
+LARGEST_TEXT_BYTES = 900_000
+
+
+@attrs.frozen
+class Team:
+    """A team, its weight among teams and its share of the fleet at most."""
+
+    name: str = attrs.field(validator=NAME)
+    weight: int = attrs.field(default=1, validator=structure.positive())
+    quota: float = attrs.field(
+        default=1.0,
+        validator=[attrs.validators.gt(0), attrs.validators.le(1)],
+    )
+
+
+@attrs.frozen
+class Kind:
+    """A kind of work: its class, policy, weight and limits."""
+
+    name: str = attrs.field(validator=NAME)
+    work_class: str = attrs.field(validator=attrs.validators.in_(CLASSES))
+    policy: str = attrs.field(
+        default='batch', validator=attrs.validators.in_(POLICIES)
+    )
+    weight: int = attrs.field(default=1, validator=structure.positive())
+    queue_limit: int = attrs.field(
+        default=DEFAULT_QUEUE_LIMIT, validator=structure.positive()
+    )
+    attempts: int = attrs.field(
+        default=DEFAULT_ATTEMPTS, validator=structure.positive()
+    )
+    deadline_ms: int = attrs.field(
+        default=DEFAULT_DEADLINE_MS, validator=structure.positive()
+    )
+
+
+@attrs.frozen
+class Service:
+    """A service: the kind of its work, what it depends on, its size.
+
+    ``replicas`` are kept running by the system; with none, the service only
+    takes requests and jobs. ``resources`` is the size of one replica, and of
+    a request that names no size.
+    """
+
+    name: str = attrs.field(validator=NAME)
+    kind: str
+    team: str
+    depends_on: list[str] = attrs.field(factory=list)
+    replicas: int = attrs.field(default=0, validator=structure.positive(0))
+    resources: resources.Resources = resources.Resources(1, 1)
+
+
+@attrs.frozen
+class Manifest:
+    """Everything that the operators have written."""
+
+    teams: list[Team] = attrs.field(factory=list)
+    kinds: list[Kind] = attrs.field(factory=list)
+    services: list[Service] = attrs.field(factory=list)
+    largest_worker: resources.Resources | None = None
+
+    def team(self, name: str) -> Team | None:
+        """Return the team of that name."""
+        return _named(self.teams, name)
+
+    def kind(self, name: str) -> Kind | None:
+        """Return the kind of work of that name."""
+        return _named(self.kinds, name)
+
+    def service(self, name: str) -> Service | None:
+        """Return the service of that name."""
+        return _named(self.services, name)
+
+
+def _named(entries: abc.Iterable, name: str):  # noqa: ANN202
+    return next((entry for entry in entries if entry.name == name), None)
+
+
+def _make_converter():  # noqa: ANN202
+    made = structure.make_converter()
+    structure.rename(made, Kind, work_class='class')
+    return made
+
+
+_converter = _make_converter()
+
+
+def parse(text: str, source: str = 'text') -> Manifest:
+    """Return the manifest that ``text`` describes.
+
+    Raises ``errors.InvalidInputError`` with every fault and its line.
+    """
+    if len(text.encode()) > LARGEST_TEXT_BYTES:
+        found = f'{len(text.encode())} bytes'
+        remedy = f'keep the text under {LARGEST_TEXT_BYTES} bytes'
+        raise errors.InvalidInputError(
+            source, [errors.Fault('$', found, remedy)]
+        )
+    tree = _compose(text, source)
+    reader = _Reader()
+    plain = {} if tree is None else reader.read(tree, '$')
+    if reader.faults:
+        raise errors.InvalidInputError(source, reader.faults)
+    parsed = structure.build(_converter, Manifest, plain, source, reader.lines)
+    faults = list(_find_faults(parsed, reader.lines))
+    if faults:
+        raise errors.InvalidInputError(source, faults)
+    return parsed
+
+
+def _compose(text: str, source: str) -> yaml.Node | None:
+    try:
+        return yaml.compose(text, Loader=yaml.SafeLoader)
+    except (yaml.YAMLError, RecursionError, ValueError) as exc:
+        mark = getattr(exc, 'problem_mark', None)
+        line = mark.line + 1 if mark else 0
+        problem = getattr(exc, 'problem', None) or type(exc).__name__
+    fault = errors.Fault('$', f'not YAML: {problem}', 'mend the syntax', line)
+    raise errors.InvalidInputError(source, [fault])
+
+
+class _Reader:
+    """Turns YAML nodes into plain data and notes the line of each path."""
+
+    def __init__(self) -> None:
+        self.lines: dict[str, int] = {}
+        self.faults: list[errors.Fault] = []
+        self._open: set[int] = set()
+        self._scalars = yaml.constructor.SafeConstructor()
+
+    def read(self, node: yaml.Node, path: str) -> object:
+        self.lines[path] = node.start_mark.line + 1
+        if isinstance(node, yaml.ScalarNode):
+            return self._read_scalar(node, path)
+        if id(node) in self._open:
+            self._fault(path, 'an alias refers to itself', 'remove the alias')
+            return None
+        self._open.add(id(node))
+        read = self._read_collection(node, path)
+        self._open.discard(id(node))
+        return read
+
+    def _read_scalar(self, node: yaml.ScalarNode, path: str) -> object:
+        try:
+            return self._scalars.construct_object(node)
+        except (ValueError, yaml.YAMLError):
+            self._fault(path, f'{node.value!r} is no value', 'correct it')
+        return None
+
+    def _read_collection(self, node: yaml.Node, path: str) -> object:
+        if isinstance(node, yaml.SequenceNode):
+            return [
+                self.read(child, f'{path}[{index}]')
+                for index, child in enumerate(node.value)
+            ]
+        plain: dict[str, object] = {}
+        for key_node, child in node.value:
+            key = str(key_node.value)
+            if key in plain:
+                line = key_node.start_mark.line + 1
+                fault = errors.Fault(path, f'{key!r} twice', 'keep one', line)
+                self.faults.append(fault)
+            plain[key] = self.read(child, f'{path}.{key}')
+        return plain
+
+    def _fault(self, path: str, found: str, remedy: str) -> None:
+        fault = errors.Fault(path, found, remedy, self.lines.get(path, 0))
+        self.faults.append(fault)
+
+
+def _find_faults(
+    parsed: Manifest, lines: abc.Mapping[str, int]
+) -> abc.Iterator[errors.Fault]:
+    for section in ('teams', 'kinds', 'services'):
+        yield from _doubled(section, getattr(parsed, section), lines)
+    for index, service in enumerate(parsed.services):
+        path = f'$.services[{index}]'
+        yield from _unknown_names(parsed, service, path, lines)
+        yield from _too_large(parsed, service, path, lines)
+    yield from _cycles(parsed, lines)
+
+
+def _fault_at(
+    path: str, found: str, remedy: str, lines: abc.Mapping[str, int]
+) -> errors.Fault:
+    return errors.Fault(path, found, remedy, structure.line_of(path, lines))
+
+
+def _doubled(
+    section: str, entries: list, lines: abc.Mapping[str, int]
+) -> abc.Iterator[errors.Fault]:
+    seen = set()
+    for index, entry in enumerate(entries):
+        path = f'$.{section}[{index}].name'
+        if entry.name in seen:
+            found = f'the name {entry.name!r} is taken'
+            yield _fault_at(path, found, 'choose another name', lines)
+        seen.add(entry.name)
+
+
+def _unknown_names(
+    parsed: Manifest,
+    service: Service,
+    path: str,
+    lines: abc.Mapping[str, int],
+) -> abc.Iterator[errors.Fault]:
+    if parsed.kind(service.kind) is None:
+        found = f'kind {service.kind!r} does not exist'
+        yield _fault_at(f'{path}.kind', found, 'add it under kinds', lines)
+    if parsed.team(service.team) is None:
+        found = f'team {service.team!r} does not exist'
+        yield _fault_at(f'{path}.team', found, 'add it under teams', lines)
+    names = {entry.name for entry in parsed.services}
+    for index, name in enumerate(service.depends_on):
+        if name not in names:
+            found = f'service {name!r} does not exist'
+            place = f'{path}.depends_on[{index}]'
+            yield _fault_at(place, found, 'add it under services', lines)
+
+
+def _too_large(
+    parsed: Manifest,
+    service: Service,
+    path: str,
+    lines: abc.Mapping[str, int],
+) -> abc.Iterator[errors.Fault]:
+    if parsed.largest_worker is None:
+        return
+    short = service.resources.shortage(parsed.largest_worker)
+    if short:
+        found = f'no worker holds that many {short}'
+        remedy = f'ask for less or raise $.largest_worker.{short}'
+        yield _fault_at(f'{path}.resources.{short}', found, remedy, lines)
+
+
+def _cycles(
+    parsed: Manifest, lines: abc.Mapping[str, int]
+) -> abc.Iterator[errors.Fault]:
+    graph = {entry.name: entry.depends_on for entry in parsed.services}
+    try:
+        graphlib.TopologicalSorter(graph).prepare()
+    except graphlib.CycleError as exc:
+        cycle = exc.args[1]
+        names = [entry.name for entry in parsed.services]
+        path = f'$.services[{names.index(cycle[0])}].depends_on'
+        found = f'a cycle: {" -> ".join(reversed(cycle))}'
+        yield _fault_at(path, found, 'remove one of the dependencies', lines)
