--- a/packages/jujubebend-ctl/src/jujubebend_ctl/submit.py
+++ b/packages/jujubebend-ctl/src/jujubebend_ctl/submit.py
@@ -134,9 +134,7 @@
     return await _wait_job(one, line, plain['id'])
 
 
-async def _wait_job(
-    one: httpclient.Client, line: Line, job_id: str
-) -> Sent:
+async def _wait_job(one: httpclient.Client, line: Line, job_id: str) -> Sent:
     while True:
         try:
             reply = await one.call(
--- a/packages/jujubebend-ctl/src/jujubebend_ctl/trial.py
+++ b/packages/jujubebend-ctl/src/jujubebend_ctl/trial.py
@@ -9,12 +9,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import importlib.resources
 import random
 import resource
 import signal
-import socket
 import statistics
 import time
 
@@ -28,6 +26,7 @@
 from jujubebend_entry import settings
 from jujubebend_platform import hostlist, httpclient, store
 from jujubebend_standin import cell
+from jujubebend_standin import ports as free_ports
 
 ZONES = ('a', 'b', 'c')
 ENTRY_HOSTS = 8
@@ -94,7 +93,7 @@
 async def start(port: int = 0) -> Trial:
     """Start the cell, accept the sample text, wait until all serve."""
     eliot.add_destinations(lambda _: None)
-    ports = _free_ports(ENTRY_HOSTS)
+    ports = free_ports.choose(ENTRY_HOSTS)
     names = [f'entry-{number}' for number in range(ENTRY_HOSTS)]
     entries = [
         hostlist.Host(
@@ -165,16 +164,6 @@
     )
 
 
-def _free_ports(count: int) -> list[int]:
-    with contextlib.ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.socket()) for _ in range(count)
-        ]
-        for one in sockets:
-            one.bind(('127.0.0.1', 0))
-        return [one.getsockname()[1] for one in sockets]
-
-
 async def _run_sample(started: Trial, rng: random.Random) -> bool:
     clients = [httpclient.Client(host, 64) for host in started.hosts()]
     try:
@@ -241,9 +230,7 @@
     }
 
 
-async def _send(
-    one: httpclient.Client, body: dict, delay: float
-) -> Answer:
+async def _send(one: httpclient.Client, body: dict, delay: float) -> Answer:
     await asyncio.sleep(delay)
     identity = body['payload']['identity']
     headers = {'idempotency-key': identity}
--- a/packages/jujubebend-entry/src/jujubebend_entry/app.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/app.py
@@ -41,9 +41,9 @@
 class App:
     """One daemon.
 
-        app = App.from_settings(cfg)
-        await app.start()
-        await app.stop()
+    app = App.from_settings(cfg)
+    await app.start()
+    await app.stop()
     """
 
     cfg: settings.Settings
--- a/packages/jujubebend-entry/src/jujubebend_entry/attempts.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/attempts.py
@@ -216,9 +216,7 @@
             return False
         return _now() >= self._sure.get(attempt, 0)
 
-    async def _inspect(
-        self, due: list[tuple[str, str, intent.Intent]]
-    ) -> None:
+    async def _inspect(self, due: list[tuple[str, str, intent.Intent]]) -> None:
         reports = await self.locator.inspect([opened for _, _, opened in due])
         for record_id, task, opened in due:
             ended = self._conclude(opened, reports.get(opened.attempt))
--- a/packages/jujubebend-entry/src/jujubebend_entry/callers.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/callers.py
@@ -133,7 +133,7 @@
             errors.Fault(
                 '$.service',
                 f'service {service!r} does not exist',
-                'name one of the operators\' text',
+                "name one of the operators' text",
             )
         )
     if text.team(team) is None:
@@ -141,7 +141,7 @@
             errors.Fault(
                 '$.team',
                 f'team {team!r} does not exist',
-                'name one of the operators\' text',
+                "name one of the operators' text",
             )
         )
     if faults or found is None:
@@ -166,9 +166,7 @@
     return hashlib.blake2b(body, digest_size=16).hexdigest()
 
 
-def is_final(
-    record: records.Record, task: str, ended: outcome.Outcome
-) -> bool:
+def is_final(record: records.Record, task: str, ended: outcome.Outcome) -> bool:
     """Say whether an attempt's outcome ends its task for good."""
     if isinstance(ended, outcome.NotRun) or record.sort == records.SERVICE:
         return False
@@ -259,7 +257,9 @@
         return 'cancelled' if record.is_ended() else 'cancelling'
     if not record.is_ended():
         return 'running'
-    tags = {task.outcome and task.outcome['tag'] for task in record.tasks.values()}
+    tags = {
+        task.outcome and task.outcome['tag'] for task in record.tasks.values()
+    }
     for tag in ('unknown', 'failed'):
         if tag in tags:
             return tag
--- a/packages/jujubebend-entry/src/jujubebend_entry/dispatcher.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/dispatcher.py
@@ -129,9 +129,7 @@
         if left <= LEAST_TIME:
             raise errors.RefusedError('its deadline has passed')
         if work.sheddable:
-            refusal = self.owner.queue.refusal(
-                work.kind, work.team, left, now
-            )
+            refusal = self.owner.queue.refusal(work.kind, work.team, left, now)
             if refusal is not None:
                 raise errors.RefusedError(refusal.reason, refusal.retry_after)
         ticket = work.ticket(now)
@@ -151,9 +149,7 @@
             return await self.owner.reserve(ticket, wait)
         return await self._reserve_at(member, ticket, wait)
 
-    async def run(
-        self, grant: grants.Grant, work: Work
-    ) -> outcome.Outcome:
+    async def run(self, grant: grants.Grant, work: Work) -> outcome.Outcome:
         """Run unrecorded work on reserved room, to its end or deadline."""
         task = work.task(grant.id)
         try:
@@ -374,7 +370,9 @@
 def _honest(ended: outcome.Outcome, *, has_run: bool) -> outcome.Outcome:
     """Never say that work was not run after an attempt that may have."""
     if has_run and isinstance(ended, outcome.NotRun):
-        return outcome.Unknown(f'an earlier attempt may have run; {ended.reason}')
+        return outcome.Unknown(
+            f'an earlier attempt may have run; {ended.reason}'
+        )
     return ended
 
 
--- a/packages/jujubebend-entry/src/jujubebend_entry/door.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/door.py
@@ -77,7 +77,7 @@
         status = http.HTTPStatus.NOT_FOUND
         return httpmessage.problem(
             status,
-            f'{req.method} {req.path} does not exist; see the callers\' page',
+            f"{req.method} {req.path} does not exist; see the callers' page",
             outcome='not_run',
         )
 
@@ -139,9 +139,7 @@
         self.metrics.served(work.kind, ended.tag, now - began)
         return callers.to_reply(ended)
 
-    async def _submit_job(
-        self, req: httpmessage.Request
-    ) -> httpmessage.Reply:
+    async def _submit_job(self, req: httpmessage.Request) -> httpmessage.Reply:
         body = callers.read_job(req.body)
         callers.check_names(self.home.text(), body.service, body.team)
         for task in body.tasks:
@@ -164,9 +162,7 @@
         if shard not in self.home.cfg.shards():
             status = http.HTTPStatus.NOT_FOUND
             return httpmessage.problem(status, f'job {job_id!r} does not exist')
-        call = home.Call(
-            req.method, req.path, '', b'', shard, _job_deadline()
-        )
+        call = home.Call(req.method, req.path, '', b'', shard, _job_deadline())
         return await self.home.route(call)
 
     def _check_size(self, demand: resources.Resources) -> None:
@@ -188,5 +184,3 @@
 
 def _job_deadline() -> float:
     return asyncio.get_running_loop().time() + JOB_SECONDS
-
-
--- a/packages/jujubebend-entry/src/jujubebend_entry/home.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/home.py
@@ -340,9 +340,7 @@
                 return await self._cancel_job(held, _last(call.path))
         return httpmessage.problem(405, 'use GET, POST or DELETE')
 
-    async def _serve_keyed(
-        self, held: _Held, call: Call
-    ) -> httpmessage.Reply:
+    async def _serve_keyed(self, held: _Held, call: Call) -> httpmessage.Reply:
         body = callers.read_request(call.body)
         work = self.request_work(body, call.deadline)
         digest = callers.digest(call.body)
@@ -370,9 +368,7 @@
             policy.Prompt(),
         )
 
-    async def _accept_job(
-        self, held: _Held, call: Call
-    ) -> httpmessage.Reply:
+    async def _accept_job(self, held: _Held, call: Call) -> httpmessage.Reply:
         body = callers.read_job(call.body)
         callers.check_names(self.text(), body.service, body.team)
         job_id = f'{call.shard}.{call.key}'
@@ -411,9 +407,7 @@
             return httpmessage.problem(404, f'job {job_id!r} does not exist')
         return httpmessage.json_reply(200, callers.describe_job(record))
 
-    async def _cancel_job(
-        self, held: _Held, job_id: str
-    ) -> httpmessage.Reply:
+    async def _cancel_job(self, held: _Held, job_id: str) -> httpmessage.Reply:
         record = held.shard.records.by_id.get(job_id)
         if record is None or record.sort != records.JOB:
             return httpmessage.problem(404, f'job {job_id!r} does not exist')
@@ -593,7 +587,8 @@
 
 
 async def inspect_owned(
-    own, intents: abc.Iterable[intent.Intent]  # noqa: ANN001
+    own,
+    intents: abc.Iterable[intent.Intent],  # noqa: ANN001
 ) -> dict[str, tuple[str, dict[str, str] | None]]:
     """Ask the owned workers after attempts; leave out the unreachable."""
     reports = {}
@@ -641,5 +636,3 @@
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
-
-
--- a/packages/jujubebend-entry/src/jujubebend_entry/jobs.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/jobs.py
@@ -186,9 +186,7 @@
     return await ends[0]
 
 
-async def _keep_running(
-    job: Job, task: callers.JobTask, number: int
-) -> None:
+async def _keep_running(job: Job, task: callers.JobTask, number: int) -> None:
     service = job.around.text().service(job.spec().service)
     for needed in service.depends_on if service else ():
         while not await job.around.is_running(needed):
@@ -230,9 +228,7 @@
 
 async def _run_gang_once(job: Job) -> None:
     """Hold room for every task within a time, or give all of it back."""
-    wanted = [
-        task for task in job.spec().tasks if job.is_wanted(task.name)
-    ]
+    wanted = [task for task in job.spec().tasks if job.is_wanted(task.name)]
     held: list[attempts.Launch] = []
     try:
         async with asyncio.timeout(GANG_WAIT), asyncio.TaskGroup() as group:
@@ -274,3 +270,7 @@
         ended = await finished
         if not isinstance(ended, outcome.Answered):
             await job.attempts.stop(job.record.id)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/jujubebend-entry/src/jujubebend_entry/keyed.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/keyed.py
@@ -60,9 +60,7 @@
         """Stop; the journal keeps what was begun."""
         await self._group.close()
 
-    async def _join(
-        self, flight: _Flight, deadline: float
-    ) -> outcome.Outcome:
+    async def _join(self, flight: _Flight, deadline: float) -> outcome.Outcome:
         try:
             async with asyncio.timeout_at(deadline):
                 return await asyncio.shield(flight.task)
--- a/packages/jujubebend-entry/src/jujubebend_entry/main.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/main.py
@@ -35,7 +35,7 @@
     _open_log(cfg)
     try:
         asyncio.run(run_until_signal(cfg))
-    except OSError as exc:
+    except (OSError, RuntimeError) as exc:
         typer.echo(f'{settings_file}: {exc}; free the address', err=True)
         raise typer.Exit(BAD_INPUT) from exc
 
--- a/packages/jujubebend-entry/src/jujubebend_entry/owner.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/owner.py
@@ -271,9 +271,7 @@
         self._settle_absent(kept, set(running))
         place.leaving = found.leaving
         self._check_usable(kept)
-        eliot.log_message(
-            'owner:leased', worker=name, running=len(running)
-        )
+        eliot.log_message('owner:leased', worker=name, running=len(running))
         self.kick()
 
     def reported(self, kept: keeper.Keeper, synced: worker.Synced) -> None:
@@ -433,9 +431,7 @@
         self.withdraw(ticket_id)
         return None
 
-    def _claim(
-        self, task: worker.TaskStart
-    ) -> keeper.Keeper | outcome.NotRun:
+    def _claim(self, task: worker.TaskStart) -> keeper.Keeper | outcome.NotRun:
         timer = self._reserved.pop(task.attempt, None)
         if timer is None:
             return outcome.NotRun('its reservation has ended')
--- a/packages/jujubebend-entry/src/jujubebend_entry/servicer.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/servicer.py
@@ -162,5 +162,3 @@
             body=reply.body,
             retry_after_ms=round(after * MILLI),
         )
-
-
--- a/packages/jujubebend-entry/src/jujubebend_entry/settler.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/settler.py
@@ -109,9 +109,7 @@
 
     async def _stop(self, told: _Told) -> None:
         try:
-            await self.owner.stop(
-                told.worker, told.attempt, checkpoint=False
-            )
+            await self.owner.stop(told.worker, told.attempt, checkpoint=False)
         except errors.JujubebendError:
             return
 
--- a/packages/jujubebend-entry/src/jujubebend_entry/tasks.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/tasks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from collections import abc
 
 import attrs
@@ -32,9 +33,5 @@
     def _done(self, task: asyncio.Task) -> None:
         self._running.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            exc = task.exception()
-            eliot.log_message(
-                'task:failed',
-                error=f'{type(exc).__name__}: {exc}',
-                task=task.get_name(),
-            )
+            trace = traceback.format_exception(task.exception())
+            eliot.log_message('task:failed', error=''.join(trace))
--- a/packages/jujubebend-platform/src/jujubebend_platform/httpserver.py
+++ b/packages/jujubebend-platform/src/jujubebend_platform/httpserver.py
@@ -10,9 +10,7 @@
 
 from jujubebend_platform import httpmessage
 
-Handler = abc.Callable[
-    [httpmessage.Request], abc.Awaitable[httpmessage.Reply]
-]
+Handler = abc.Callable[[httpmessage.Request], abc.Awaitable[httpmessage.Reply]]
 CLOSE_GRACE = 0.2
 SLICE_BYTES = 65_536
 
@@ -46,8 +44,8 @@
 class Server:
     """Serves one handler; ``stop`` lets every request in flight finish.
 
-        server = Server(handle, Limits())
-        await server.start('127.0.0.1', 8000)
+    server = Server(handle, Limits())
+    await server.start('127.0.0.1', 8000)
     """
 
     handler: Handler
--- a/packages/jujubebend-platform/src/jujubebend_platform/store.py
+++ b/packages/jujubebend-platform/src/jujubebend_platform/store.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import http
-
 import typing
 import urllib.parse
 from collections import abc
--- a/packages/jujubebend-platform/src/jujubebend_platform/worker.py
+++ b/packages/jujubebend-platform/src/jujubebend_platform/worker.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import http
-
 import typing
 
 import attrs
--- a/packages/jujubebend-standin/src/jujubebend_standin/__main__.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/__main__.py
@@ -84,9 +84,7 @@
         await one.server.stop(0)
 
 
-async def _relay_until_signal(
-    control: int, plans: abc.Sequence[dict]
-) -> None:
+async def _relay_until_signal(control: int, plans: abc.Sequence[dict]) -> None:
     stopped = _until_signal()
     made = {}
     for plan in plans:
--- a/packages/jujubebend-standin/src/jujubebend_standin/cell.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/cell.py
@@ -81,9 +81,7 @@
             fake.sweep()
 
 
-async def start(
-    plans: list[WorkerPlan], entries: list[hostlist.Host]
-) -> Cell:
+async def start(plans: list[WorkerPlan], entries: list[hostlist.Host]) -> Cell:
     """Start the stand-ins of a platform with these hosts."""
     fakes = [
         worker_fake.WorkerFake(plan.name, plan.capacity, plan.speed)
--- a/packages/jujubebend/src/jujubebend/ejection.py
+++ b/packages/jujubebend/src/jujubebend/ejection.py
@@ -36,9 +36,9 @@
 class Ejector:
     """Judges workers by how their work ended.
 
-        ejector = Ejector()
-        ejector.ended('worker-1', failed=True, now=0)
-        ejector.admits('worker-1', now=0)
+    ejector = Ejector()
+    ejector.ended('worker-1', failed=True, now=0)
+    ejector.admits('worker-1', now=0)
     """
 
     records: dict[str, Record] = attrs.field(factory=dict)
@@ -84,9 +84,7 @@
         """Return the names of the ejected workers."""
         return [name for name, record in self.records.items() if record.ejected]
 
-    def _judge_probe(
-        self, record: Record, *, failed: bool, now: float
-    ) -> None:
+    def _judge_probe(self, record: Record, *, failed: bool, now: float) -> None:
         if not record.probing:
             return
         record.probing = False
--- a/packages/jujubebend/src/jujubebend/queue.py
+++ b/packages/jujubebend/src/jujubebend/queue.py
@@ -96,8 +96,8 @@
 class FairQueue:
     """Tickets waiting for room in one ledger.
 
-        waiting.add(ticket, now)
-        placed = waiting.pick(now)
+    waiting.add(ticket, now)
+    placed = waiting.pick(now)
     """
 
     capacity: ledger.Ledger
