--- a/packages/jujubebend-entry/src/jujubebend_entry/owner.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/owner.py
@@ -206,7 +206,11 @@
         self.starts += 1
         try:
             await kept.client.start(held.epoch, held.boot, task)
-        except (errors.RefusedError, worker.StaleError) as exc:
+        except (
+            errors.RefusedError,
+            errors.NotSentError,
+            worker.StaleError,
+        ) as exc:
             return self._not_started(attempt, str(exc))
         except errors.UnreachableError:
             return await self._settle_start(attempt)
--- a/packages/jujubebend-platform/src/jujubebend_platform/httpclient.py
+++ b/packages/jujubebend-platform/src/jujubebend_platform/httpclient.py
@@ -35,8 +35,7 @@
         reply = await client.call('GET', '/healthz', timeout=1)
 
     Raises ``errors.UnreachableError`` when no whole reply came: what was
-    asked may have been done. ``unsent`` on the error is true when the
-    request cannot have reached the server.
+    asked may have been done, unless the error is ``errors.NotSentError``.
     """
 
     address: str
@@ -111,7 +110,10 @@
                 return conn
             conn.close()
         host, _, port = self.address.rpartition(':')
-        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+        except OSError as exc:
+            raise errors.NotSentError(f'{self.address}: {exc}') from exc
         return _Connection(reader, writer, h11.Connection(h11.CLIENT))
 
     async def _send(
--- a/packages/jujubebend-standin/src/jujubebend_standin/__main__.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/__main__.py
@@ -6,6 +6,7 @@
 import http
 import pathlib
 import signal
+import typing
 from collections import abc
 
 import orjson
@@ -57,6 +58,7 @@
                 plain['name'],
                 resources.from_json(plain['capacity']),
                 plain.get('speed', 1),
+                record=_open_record(plain),
             ),
             plain['port'],
         )
@@ -64,6 +66,11 @@
     ]
 
 
+def _open_record(plain: dict) -> typing.IO[str] | None:
+    path = plain.get('record')
+    return pathlib.Path(path).open('a') if path else None
+
+
 def _until_signal() -> asyncio.Event:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -105,7 +112,8 @@
         self._made = made
 
     async def handle(self, req: httpmessage.Request) -> httpmessage.Reply:
-        for name, state in orjson.loads(req.body).items():
+        wanted = orjson.loads(req.body) if req.body else {}
+        for name, state in wanted.items():
             self._made[name].set_state(relay.State(state))
         return httpmessage.json_reply(http.HTTPStatus.OK, {})
 
--- a/packages/jujubebend-standin/src/jujubebend_standin/store.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import http
+import time
 from urllib import parse
 
 import attrs
@@ -33,19 +34,26 @@
     revision: int = 0
     reads: int = 0
     writes: int = 0
+    by_second: dict[int, list[int]] = attrs.field(factory=dict)
     history: list[tuple[int, str]] = attrs.field(factory=list)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     async def handle(self, req: httpmessage.Request) -> httpmessage.Reply:
         """Serve one call."""
         if req.path == '/v1/counts':
-            counts = {'reads': self.reads, 'writes': self.writes}
+            counts = {
+                'reads': self.reads,
+                'writes': self.writes,
+                'by_second': list(self.by_second.values()),
+            }
             return httpmessage.json_reply(http.HTTPStatus.OK, counts)
         query = dict(parse.parse_qsl(req.target.partition('?')[2]))
         if req.method == 'GET':
             self.reads += 1
+            self._count(0)
             return await self._read(req.path, query)
         self.writes += 1
+        self._count(1)
         body = httpmessage.Reply(0, req.body).json()
         if req.method == 'PUT':
             return self._put(body)
@@ -55,6 +63,11 @@
             http.HTTPStatus.METHOD_NOT_ALLOWED, 'use GET, PUT or DELETE'
         )
 
+    def _count(self, sort: int) -> None:
+        """Count a call of this second: reads are sort zero, writes one."""
+        counts = self.by_second.setdefault(int(time.time()), [0, 0])
+        counts[sort] += 1
+
     async def _read(
         self, path: str, query: dict[str, str]
     ) -> httpmessage.Reply:
--- a/packages/jujubebend-standin/src/jujubebend_standin/worker.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/worker.py
@@ -13,6 +13,7 @@
 import hashlib
 import http
 import time
+import typing
 import uuid
 
 import attrs
@@ -56,6 +57,7 @@
     faults: faults.Faults = attrs.field(factory=faults.Faults)
     boot: str = attrs.field(factory=lambda: uuid.uuid4().hex)
     events: list[Event] = attrs.field(factory=list)
+    record: typing.IO[str] | None = None
     overfilled: int = 0
     refused_stale: int = 0
     _referee: lease.Referee = attrs.field(factory=lease.Referee)
@@ -189,6 +191,7 @@
         )
         if not (held + task.demand).fits(self.capacity):
             self.overfilled += 1
+            self._note('overfilled', task)
             raise errors.RefusedError('the worker is full')
         running = _Running(task, time.monotonic())
         self._running[task.attempt] = running
@@ -304,7 +307,13 @@
     def _note(self, what: str, task: worker.TaskStart) -> None:
         payload = task.payload if isinstance(task.payload, dict) else {}
         identity = str(payload.get('identity', ''))
-        self.events.append(Event(what, task.attempt, identity, time.time()))
+        event = Event(what, task.attempt, identity, time.time())
+        self.events.append(event)
+        if self.record is not None:
+            # Written at once, so that the record outlives a kill.
+            line = orjson.dumps(attrs.asdict(event)).decode()
+            self.record.write(f'{line}\n')
+            self.record.flush()
 
     def _describe(self) -> dict:
         return {
--- a/packages/jujubebend/src/jujubebend/errors.py
+++ b/packages/jujubebend/src/jujubebend/errors.py
@@ -46,6 +46,10 @@
     """The other side gave no answer; what was asked may have happened."""
 
 
+class NotSentError(UnreachableError):
+    """Nothing left this host: what was asked was certainly not done."""
+
+
 class RefusedError(JujubebendError):
     """The other side answered that it did not do what was asked."""
 
--- /dev/null
+++ b/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenario scripts and the small language that they are written in."""
--- /dev/null
+++ b/scenarios/runner/__init__.py
@@ -0,0 +1,1 @@
+"""Runs scenario scripts against a cell of real processes."""
