--- a/packages/jujubebend-entry/src/jujubebend_entry/app.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/app.py
@@ -210,6 +210,8 @@
             for name, host in listed.items()
             if self.home.owner_of(name) == own
         }
+        zone = [host for host in listed.values() if host.zone == self.cfg.zone]
+        self.owner.ledger.ejector.workers = len(zone)
         if not self.owner.draining:
             self.owner.assign(mine)
         self.home.reassign()
--- a/packages/jujubebend-entry/src/jujubebend_entry/attempts.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/attempts.py
@@ -16,7 +16,7 @@
 import eliot
 
 from jujubebend import errors, intent, outcome, records
-from jujubebend_entry import callers, dispatcher, grants, shard, tasks
+from jujubebend_entry import answers, callers, dispatcher, grants, shard, tasks
 
 INSPECT_INTERVAL = 1.0
 INSPECT_QUIET_INTERVAL = 10.0
@@ -106,8 +106,11 @@
         """Record an end, then tell whoever waits for it."""
         record = self.shard.records.by_id[record_id]
         final = callers.is_final(record, task, outcome.from_record(ended))
+        kept = ended
+        if final:
+            kept = await answers.put_aside(self.shard.store, attempt, ended)
         entry = records.Ended(
-            record_id, task, attempt, ended, final, time.time()
+            record_id, task, attempt, kept, final, time.time()
         )
         await self.shard.commit(entry)
         self._sure.pop(attempt, None)
--- a/packages/jujubebend-entry/src/jujubebend_entry/callers.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/callers.py
@@ -229,7 +229,7 @@
 
 
 def describe_job(record: records.Record) -> dict:
-    """Return a job as callers see it."""
+    """Return a job as callers see it, but for its tasks' outcomes."""
     return {
         'id': record.id,
         'state': _state(record),
@@ -238,16 +238,15 @@
                 'state': _task_state(task),
                 'attempts': task.attempts,
                 'worker': task.intent.worker if task.intent else '',
-                'outcome': _describe_outcome(task.outcome),
+                'outcome': None,
             }
             for name, task in record.tasks.items()
         },
     }
 
 
-def _describe_outcome(ended: dict[str, str] | None) -> dict | None:
-    if ended is None:
-        return None
+def describe_outcome(ended: dict[str, str]) -> dict:
+    """Return the outcome of a task as callers see it."""
     described: dict = dict(ended)
     if 'body' in described:
         described['answer'] = orjson.loads(described.pop('body'))
--- a/packages/jujubebend-entry/src/jujubebend_entry/home.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/home.py
@@ -22,6 +22,7 @@
     records,
 )
 from jujubebend_entry import (
+    answers,
     attempts,
     callers,
     dispatcher,
@@ -336,7 +337,7 @@
             case ('POST', '/v1/jobs'):
                 return await self._accept_job(held, call)
             case ('GET', _):
-                return self._show_job(held, _last(call.path))
+                return await self._show_job(held, _last(call.path))
             case ('DELETE', _):
                 return await self._cancel_job(held, _last(call.path))
         return httpmessage.problem(
@@ -412,15 +413,20 @@
             return callers.unknown(f'{exc}; look for job {job_id}')
         return None
 
-    def _show_job(self, held: _Held, job_id: str) -> httpmessage.Reply:
+    async def _show_job(self, held: _Held, job_id: str) -> httpmessage.Reply:
         record = held.shard.records.by_id.get(job_id)
         if record is None or record.sort == records.REQUEST:
             return httpmessage.problem(
                 http.HTTPStatus.NOT_FOUND, f'job {job_id!r} does not exist'
             )
-        return httpmessage.json_reply(
-            http.HTTPStatus.OK, callers.describe_job(record)
-        )
+        described = callers.describe_job(record)
+        for name, task in record.tasks.items():
+            if task.outcome is not None:
+                whole = await answers.bring_back(self.store, task.outcome)
+                described['tasks'][name]['outcome'] = callers.describe_outcome(
+                    whole
+                )
+        return httpmessage.json_reply(http.HTTPStatus.OK, described)
 
     async def _cancel_job(self, held: _Held, job_id: str) -> httpmessage.Reply:
         record = held.shard.records.by_id.get(job_id)
--- a/packages/jujubebend-entry/src/jujubebend_entry/keyed.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/keyed.py
@@ -9,7 +9,7 @@
 import attrs
 
 from jujubebend import errors, outcome, records, retry
-from jujubebend_entry import attempts, callers, dispatcher, tasks
+from jujubebend_entry import answers, attempts, callers, dispatcher, tasks
 from jujubebend_platform import httpmessage
 
 TASK = 'run'
@@ -101,7 +101,9 @@
         if record is not None:
             task = record.tasks[TASK]
             if task.outcome is not None:
-                return outcome.from_record(task.outcome)
+                kept = self.attempts.shard.store
+                whole = await answers.bring_back(kept, task.outcome)
+                return outcome.from_record(whole)
             if task.intent is not None:
                 return await self.attempts.wait_end(task.intent.attempt)
         if self.attempts.shard.is_full():
--- a/packages/jujubebend-entry/src/jujubebend_entry/owner.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/owner.py
@@ -11,6 +11,7 @@
 from jujubebend import (
     errors,
     intent,
+    lease,
     ledger,
     outcome,
     policy,
@@ -204,6 +205,16 @@
         self._attempts[task.attempt] = attempt
         self.ledger.ejector.started(kept.host.name)
         self.starts += 1
+        # A start that was begun is carried through even if its caller goes:
+        # what it holds must be freed by its outcome.
+        sending = self._group.spawn(self._send_start(attempt, held))
+        return await asyncio.shield(sending)
+
+    async def _send_start(
+        self, attempt: _Attempt, held: lease.Holding
+    ) -> outcome.NotRun | None:
+        kept = attempt.keeper
+        task = attempt.task
         try:
             await kept.client.start(held.epoch, held.boot, task)
         except (
--- a/packages/jujubebend-entry/src/jujubebend_entry/shard.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/shard.py
@@ -16,13 +16,16 @@
 import orjson
 
 from jujubebend import errors, journal, records
+from jujubebend_entry import answers
 from jujubebend_platform import store
 
 COMMIT_TIMEOUT = 5.0
 RETRY_WAIT = 0.2
 BATCH_BYTES = 300_000
 ARCHIVE_BYTES = 200_000
-STATE_BYTES = 800_000
+ARCHIVE_PART_BYTES = 400_000
+SNAPSHOT_AFTER_BYTES = 300_000
+STATE_BYTES = 500_000
 OPEN_TRIES = 20
 NOT_RECORDED = 'the store does not answer, so it could not be recorded'
 
@@ -64,6 +67,7 @@
     _archives: list[_Archive] = attrs.field(factory=list)
     _archived: set[str] = attrs.field(factory=set)
     _live_bytes: int = 0
+    _bytes_since: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Point at the start of the journal."""
@@ -124,7 +128,12 @@
 
     def is_full(self) -> bool:
         """Say whether the shard can record no new work for now."""
-        return self._live_bytes > STATE_BYTES
+        return self._live_bytes + self._bytes_since > STATE_BYTES
+
+    def _wants_snapshot(self) -> bool:
+        if self._bytes_since > SNAPSHOT_AFTER_BYTES:
+            return True
+        return self._cursor.wants_snapshot()
 
     def _give_up(self, write: _Write, exc: BaseException) -> None:
         queued = write in self._pending
@@ -177,7 +186,7 @@
         await self._write_batch([claim])
 
     async def _write_pending(self) -> None:
-        if self._cursor.wants_snapshot():
+        if self._wants_snapshot():
             await self._write_snapshot()
         taken: list[_Write] = []
         size = 0
@@ -190,6 +199,7 @@
         except BaseException:
             self._fail(taken)
             raise
+        self._bytes_since += size
         for write in taken:
             for entry in write.entries:
                 self.records.apply(entry)
@@ -229,9 +239,8 @@
 
     async def _write_snapshot(self) -> None:
         now = time.time()
-        self._archived.difference_update(
-            self.records.forget(now - self.retention)
-        )
+        old = self.records.forget(now - self.retention)
+        self._archived.difference_update(record.id for record in old)
         expired = [
             one for one in self._archives if one.newest < now - self.retention
         ]
@@ -252,8 +261,12 @@
             return
         self._snapshot_revision = revision
         self._cursor.covered = covered
+        self._bytes_since = 0
         for one in expired:
             await self._delete(journal.archive_key(self.name, one.name))
+        for record in old:
+            for answer_key in answers.keys_of(record):
+                await self._delete(answer_key)
 
     async def _reread_snapshot(self, key: str) -> None:
         """Learn of a snapshot that the holder before wrote late.
@@ -276,16 +289,27 @@
                 continue
             target = ended if record.is_ended() else live
             target.append(records.encode_record(record))
-        text = orjson.dumps(ended).decode()
-        if len(text) < ARCHIVE_BYTES:
+        sizes = [len(orjson.dumps(record)) for record in ended]
+        if sum(sizes) < ARCHIVE_BYTES:
             return live + ended
+        part: list[dict] = []
+        part_size = 0
+        for record, size in zip(ended, sizes, strict=True):
+            if part and part_size + size > ARCHIVE_PART_BYTES:
+                await self._archive(part, now)
+                part = []
+                part_size = 0
+            part.append(record)
+            part_size += size
+        await self._archive(part, now)
+        return live
+
+    async def _archive(self, part: list[dict], now: float) -> None:
         name = f'{int(now)}-{uuid.uuid4().hex}'
         key = journal.archive_key(self.name, name)
-        if await self._put(key, text, 0) is None:
-            return live + ended
+        await self._put(key, orjson.dumps(part).decode(), 0)
         self._archives.append(_Archive(name, now))
-        self._archived.update(record['id'] for record in ended)
-        return live
+        self._archived.update(record['id'] for record in part)
 
     async def _delete(self, key: str) -> None:
         try:
--- a/packages/jujubebend-platform/src/jujubebend_platform/store.py
+++ b/packages/jujubebend-platform/src/jujubebend_platform/store.py
@@ -57,7 +57,8 @@
     """What the project asks of the platform's store.
 
     Every call raises ``errors.UnreachableError`` when no answer came. A
-    write may then have taken effect.
+    write may then have taken effect. A value over ``LARGEST_VALUE_BYTES``
+    raises ``errors.RefusedError``.
     """
 
     async def get(self, key: str) -> Item | None:
@@ -152,6 +153,8 @@
         reply = await self._client.call_json(
             method, target, body, timeout=CALL_TIMEOUT + wait
         )
+        if reply.status == http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+            raise errors.RefusedError(f'{name}: the value is too large')
         if reply.status not in _KNOWN_STATUSES:
             raise errors.UnreachableError(
                 f'{name}: the store answered {reply.status}',
--- a/packages/jujubebend/src/jujubebend/ejection.py
+++ b/packages/jujubebend/src/jujubebend/ejection.py
@@ -1,9 +1,11 @@
 """Ejection of workers that fail what they start.
 
 Each worker has two counts, of all ends and of failures, that decay with
-time. A worker is ejected when it has enough samples and fails most of them;
-one bad sample ejects nobody. No more than a set share of the workers is
-ejected at once, and an ejected worker gets single probes to come back.
+time. A worker is ejected when it has enough samples, fails most of them and
+fails far more than the other workers do, since work that fails everywhere
+says nothing of a worker. One bad sample ejects nobody. No more than a set
+share of the workers is ejected at once, and an ejected worker gets single
+probes to come back.
 """
 
 from __future__ import annotations
@@ -14,6 +16,7 @@
 LEAST_SAMPLES = 4.0
 FAILING = 0.6
 LARGEST_SHARE = 0.34
+TIMES_OTHERS = 2.0
 FIRST_PROBE = 2.0
 LONGEST_PROBE = 120.0
 ROUNDING = 0.05
@@ -36,12 +39,16 @@
 class Ejector:
     """Judges workers by how their work ended.
 
+    ``workers`` is how many there are for the same work, those of other
+    owners included; a sole worker is never ejected.
+
     ejector = Ejector()
     ejector.ended('worker-1', failed=True, now=0)
     ejector.admits('worker-1', now=0)
     """
 
     records: dict[str, Record] = attrs.field(factory=dict)
+    workers: int = 0
 
     def ended(self, worker: str, *, failed: bool, now: float) -> None:
         """Count the end of a piece of work on ``worker``."""
@@ -52,7 +59,7 @@
         self._decay(record, now)
         record.ends += 1
         record.failures += failed
-        if self._is_failing(record) and self._may_eject():
+        if self._is_failing(record) and self._may_eject(record):
             record.ejected = True
             record.probe_wait = FIRST_PROBE
             record.next_probe = now + FIRST_PROBE
@@ -108,6 +115,15 @@
             return False
         return record.failures >= FAILING * record.ends
 
-    def _may_eject(self) -> bool:
-        ejected = sum(record.ejected for record in self.records.values())
-        return ejected + 1 <= LARGEST_SHARE * len(self.records)
+    def _may_eject(self, record: Record) -> bool:
+        others = [one for one in self.records.values() if one is not record]
+        ejected = sum(one.ejected for one in others)
+        workers = max(self.workers, len(self.records))
+        if ejected + 1 > max(1, LARGEST_SHARE * workers) or workers < 2:
+            return False
+        ends = sum(one.ends for one in others)
+        failures = sum(one.failures for one in others if not one.ejected)
+        if ends < LEAST_SAMPLES:
+            return True
+        rate = record.failures / record.ends
+        return rate >= TIMES_OTHERS * failures / ends
--- a/packages/jujubebend/src/jujubebend/records.py
+++ b/packages/jujubebend/src/jujubebend/records.py
@@ -184,15 +184,15 @@
                 found.append((record_id, name, opened))
         return found
 
-    def forget(self, before: float) -> list[str]:
-        """Drop records that ended before a time and return their ids."""
+    def forget(self, before: float) -> list[Record]:
+        """Drop records that ended before a time and return them."""
         old = [
-            record.id
+            record
             for record in self.by_id.values()
             if record.is_forgettable(before)
         ]
-        for record_id in old:
-            self.by_id.pop(record_id)
+        for record in old:
+            self.by_id.pop(record.id)
         return old
 
     def _index(self, record: Record, entry: Entry) -> None:
--- a/scenarios/runner/play.py
+++ b/scenarios/runner/play.py
@@ -10,6 +10,7 @@
 import time
 
 import attrs
+import orjson
 
 from jujubebend import errors
 from jujubebend_ctl import client
@@ -76,8 +77,18 @@
         if self.balancer is not None:
             await self.balancer.close()
         if self.seen is not None:
+            plain = [attrs.asdict(one) for one in self.seen.results]
+            path = self.folder / 'results.json'
+            path.write_bytes(orjson.dumps(plain))
+            await self._dump_states()
             self.cell.close()
 
+    async def _dump_states(self) -> None:
+        for name in self.cell.running_entries():
+            state = await self.cell.state(name)
+            path = self.folder / f'{name}.state'
+            path.write_bytes(orjson.dumps(state, option=orjson.OPT_INDENT_2))
+
     async def _watch_revisions(self) -> None:
         """Note whenever a host is seen with an older configuration."""
         while True:
