--- a/packages/jujubebend-entry/src/jujubebend_entry/attempts.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/attempts.py
@@ -57,8 +57,13 @@
     _ends: dict[str, asyncio.Future] = attrs.field(factory=dict)
     _launching: set[str] = attrs.field(factory=set)
     _sure: dict[str, float] = attrs.field(factory=dict)
+    _whole: dict[str, dict[str, str]] = attrs.field(factory=dict)
     _group: tasks.TaskGroup = attrs.field(factory=tasks.TaskGroup)
 
+    def __attrs_post_init__(self) -> None:
+        """Follow what is written to the journal."""
+        self.shard.applied = self._applied
+
     async def launch(
         self,
         record_id: str,
@@ -103,7 +108,7 @@
     async def end(
         self, record_id: str, task: str, attempt: str, ended: dict[str, str]
     ) -> None:
-        """Record an end, then tell whoever waits for it."""
+        """Record an end; whoever waits for it is told once it is written."""
         record = self.shard.records.by_id[record_id]
         final = callers.is_final(record, task, outcome.from_record(ended))
         kept = ended
@@ -112,9 +117,16 @@
         entry = records.Ended(
             record_id, task, attempt, kept, final, time.time()
         )
+        self._whole[attempt] = ended
         await self.shard.commit(entry)
-        self._sure.pop(attempt, None)
-        waiter = self._ends.pop(attempt, None)
+
+    def _applied(self, entry: records.Entry) -> None:
+        """Tell whoever waits for an end that is now in the journal."""
+        if not isinstance(entry, records.Ended):
+            return
+        self._sure.pop(entry.attempt, None)
+        ended = self._whole.pop(entry.attempt, entry.outcome)
+        waiter = self._ends.pop(entry.attempt, None)
         if waiter is not None and not waiter.done():
             waiter.set_result(outcome.from_record(ended))
 
@@ -196,11 +208,22 @@
         ]
         try:
             await self.shard.commit(*first, *entries)
+            self._check_recorded(launches)
         except BaseException:
             for one in launches:
                 self._group.spawn(self.dispatcher.release(one.grant))
             raise
 
+    def _check_recorded(self, launches: list[Launch]) -> None:
+        """Raise unless every intent is now the open one of its task.
+
+        A write that an earlier try gave up on may have come first, and then
+        the journal ignores the later intent.
+        """
+        known = self.shard.records.by_attempt
+        if not all(one.grant.id in known for one in launches):
+            raise errors.RefusedError('another attempt was recorded first')
+
     async def _start(self, record_id: str, launch: Launch) -> None:
         grant = launch.grant
         refused = await self.dispatcher.start(
--- a/packages/jujubebend-entry/src/jujubebend_entry/home.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/home.py
@@ -143,6 +143,7 @@
                 'records': len(held.shard.records.by_id),
                 'open_attempts': len(held.shard.records.by_attempt),
                 'jobs': sorted(held.jobs),
+                'flights': held.keyed.describe(),
             }
             for name, held in self._held.items()
         }
--- a/packages/jujubebend-entry/src/jujubebend_entry/keyed.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/keyed.py
@@ -61,6 +61,13 @@
         """Return how many requests are being run."""
         return len(self._flights)
 
+    def describe(self) -> dict[str, str]:
+        """Return the keys in flight and where each one is."""
+        return {
+            record_id: _where(flight.task)
+            for record_id, flight in self._flights.items()
+        }
+
     async def close(self) -> None:
         """Stop; the journal keeps what was begun."""
         await self._group.close()
@@ -129,5 +136,15 @@
         return await ends[0]
 
 
+def _where(task: asyncio.Task) -> str:
+    """Return the innermost step that a task waits in."""
+    awaited = task.get_coro()
+    name = ''
+    while awaited is not None and hasattr(awaited, 'cr_await'):
+        name = awaited.cr_code.co_qualname
+        awaited = awaited.cr_await
+    return name
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/jujubebend-entry/src/jujubebend_entry/shard.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/shard.py
@@ -10,6 +10,7 @@
 import asyncio
 import time
 import uuid
+from collections import abc
 
 import attrs
 import eliot
@@ -50,7 +51,8 @@
 
     ``pace`` is the least time between writes in seconds, so that all shards
     together stay under what the store takes. ``retention`` is for how long
-    ended records are remembered, in seconds.
+    ended records are remembered, in seconds. ``applied`` is told of each
+    entry once it is written, also of one whose committer gave up waiting.
     """
 
     name: str
@@ -59,6 +61,7 @@
     pace: float
     retention: float
     records: records.Records = attrs.field(factory=records.Records)
+    applied: abc.Callable[[records.Entry], None] = lambda entry: None  # noqa: E731
     fenced: asyncio.Event = attrs.field(factory=asyncio.Event)
     _cursor: journal.Cursor = attrs.field(init=False)
     _pending: list[_Write] = attrs.field(factory=list)
@@ -203,6 +206,7 @@
         for write in taken:
             for entry in write.entries:
                 self.records.apply(entry)
+                self.applied(entry)
             if not write.done.done():
                 write.done.set_result(None)
 
--- a/scenarios/runner/load.py
+++ b/scenarios/runner/load.py
@@ -32,8 +32,7 @@
     keyed: bool
     outcomes: list[str] = attrs.field(factory=list)
     whole: bool = True
-    worker_failed: bool = False
-    workers: list[str] = attrs.field(factory=list)
+    reasons: list[str] = attrs.field(factory=list)
 
     def last(self) -> str:
         """Return the outcome of the last try."""
@@ -154,6 +153,7 @@
         return 'answered'
     if reply.status in {400, 404, 413, 422}:
         return 'invalid'
+    result.reasons.append(plain['title'])
     return plain.get('outcome', 'failed')
 
 
