Hand no guest on to a third host; match services one change at a time

Cause (timed-config, a replica started never or after 12 tries): a peer's ticket that waited at a host without workers was handed on by that host's own calls to a third, and the reservation then did not exist where its holder looked for it. Ruled out: reservations running out (10 s, seen gone within 30 ms) and two runners of one service, which was a fault too: a cancelled runner removed its successor's entry, and matches of one service overlapped. Guests now stay where they wait; a host without workers takes none.

--- a/packages/jujubebend-entry/src/jujubebend_entry/attempts.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/attempts.py
@@ -234,6 +234,12 @@
             return
         if isinstance(refused, outcome.Unknown):
             return
+        eliot.log_message(
+            'attempt:not-started',
+            attempt=grant.id,
+            worker=grant.worker,
+            reason=refused.reason,
+        )
         record = outcome.to_record(refused)
         await self.end(record_id, launch.task, grant.id, record)
 
--- a/packages/jujubebend-entry/src/jujubebend_entry/dispatcher.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/dispatcher.py
@@ -258,24 +258,27 @@
 
     def pump(self) -> None:
         """Let calls wait at each peer on behalf of what waits here."""
-        if not self.owner.queue.tickets:
-            return
+        own = len(self.owner.queue.own_heads())
         for member in self._zone_peers():
             count = self._pumps.get(member.name, 0)
-            if count < min(WAITERS_PER_PEER, len(self.owner.queue.tickets)):
+            if count < min(WAITERS_PER_PEER, own):
                 self._pumps[member.name] = count + 1
                 self._group.spawn(self._pump_from(member))
 
     async def _pump_from(self, member: membership.Member) -> None:
         try:
-            while self.owner.queue.tickets and self._is_staying(member):
-                await self._pump_once(member)
+            while self._is_staying(member):
+                own = self.owner.queue.own_heads()
+                if not own:
+                    return
+                turn = self._pumps[member.name] % len(own)
+                await self._pump_once(member, own[turn])
         finally:
             self._pumps[member.name] -= 1
 
-    async def _pump_once(self, member: membership.Member) -> None:
-        heads = self.owner.queue.heads()
-        best = heads[self._pumps[member.name] % len(heads)]
+    async def _pump_once(
+        self, member: membership.Member, best: queue.Ticket
+    ) -> None:
         stand_in = attrs.evolve(best, id=uuid.uuid4().hex, waiting=True)
         grant = await self._reserve_at(member, stand_in, PUMP_WAIT)
         if grant is None:
--- a/packages/jujubebend-entry/src/jujubebend_entry/home.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/home.py
@@ -72,6 +72,7 @@
     opened: bool = False
     task: asyncio.Task | None = None
     jobs: dict[str, asyncio.Task] = attrs.field(factory=dict)
+    matching: set[str] = attrs.field(factory=set)
 
 
 @attrs.define(eq=False)
@@ -327,7 +328,8 @@
         except* errors.FencedError:
             eliot.log_message('job:handed-on', job=job.record.id)
         finally:
-            held.jobs.pop(job.record.id, None)
+            if held.jobs.get(job.record.id) is asyncio.current_task():
+                held.jobs.pop(job.record.id)
 
     async def _handle_held(
         self, held: _Held, call: Call
@@ -471,8 +473,17 @@
             if record_id not in wanted or not wanted[record_id].replicas:
                 self._group.spawn(self._withdraw(held, record))
         for record_id, service in wanted.items():
-            if service.replicas:
-                self._group.spawn(self._match(held, record_id, service))
+            if service.replicas and record_id not in held.matching:
+                held.matching.add(record_id)
+                self._group.spawn(self._match_once(held, record_id, service))
+
+    async def _match_once(
+        self, held: _Held, record_id: str, service: manifest.Service
+    ) -> None:
+        try:
+            await self._match(held, record_id, service)
+        finally:
+            held.matching.discard(record_id)
 
     async def _match(
         self, held: _Held, record_id: str, service: manifest.Service
--- a/packages/jujubebend-entry/src/jujubebend_entry/servicer.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/servicer.py
@@ -63,9 +63,10 @@
             now + wait,
             now,
             sheddable=False,
+            guest=True,
         )
         grant = None
-        if not self.owner.draining:
+        if self.owner.ledger.places and not self.owner.draining:
             grant = await self.owner.reserve(ticket, wait)
         room = peers.to_amounts(self.owner.largest_room())
         if grant is None:
--- a/packages/jujubebend-entry/src/jujubebend_entry/settings.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/settings.py
@@ -128,8 +128,8 @@
     try:
         plain = pyjson5.decode(text)
     except (pyjson5.Json5DecoderException, RecursionError) as exc:
-        place = re.search(r'\d+', str(exc))
-        line = text.count('\n', 0, int(place[0])) + 1 if place else 0
+        place = re.search(r'near (\d+)', str(exc))
+        line = text.count('\n', 0, int(place[1])) + 1 if place else 0
         fault = errors.Fault('$', f'not JSON: {exc}', 'mend the syntax', line)
         raise errors.InvalidInputError(source, [fault]) from exc
     lines = _find_lines(text)
--- a/packages/jujubebend/src/jujubebend/queue.py
+++ b/packages/jujubebend/src/jujubebend/queue.py
@@ -19,6 +19,7 @@
 
 URGENT_RESERVE = 0.125
 EARMARK_AFTER = 3.0
+TAKE_AMONG = 16
 UNKNOWN_KIND = manifest.Kind('unknown', manifest.PATIENT)
 UNKNOWN_TEAM = manifest.Team('unknown')
 
@@ -28,7 +29,8 @@
     """One piece of work that waits for room.
 
     ``deadline`` and ``queued_at`` are seconds on the clock of this process.
-    ``sheddable`` work may be refused when its queue is full.
+    ``sheddable`` work may be refused when its queue is full. A ``guest``
+    waits here for a peer, and must not be handed on to a third host.
     """
 
     id: str
@@ -39,6 +41,7 @@
     deadline: float
     queued_at: float
     sheddable: bool = True
+    guest: bool = False
     waiting: bool = True
 
     def hold(self, worker: str) -> ledger.Hold:
@@ -65,6 +68,16 @@
             heapq.heappop(self.heap)
         return self.heap[0][2] if self.heap else None
 
+    def own_head(self) -> Ticket | None:
+        """Return the first ticket that may be handed to a peer."""
+        first = heapq.nsmallest(TAKE_AMONG, self.heap)
+        own = (
+            ticket
+            for _, _, ticket in first
+            if ticket.waiting and not ticket.guest
+        )
+        return next(own, None)
+
 
 @attrs.define(eq=False)
 class _Row:
@@ -184,12 +197,23 @@
         """Take the best waiting ticket of a lane for room held elsewhere."""
         row = self._row(kind)
         lane = row.lanes.get(team)
-        ticket = lane.head() if lane else None
+        ticket = lane.own_head() if lane else None
         if ticket is None or not ticket.demand.fits(room):
             return None
         self._take(ticket)
         return ticket
 
+    def own_heads(self) -> list[Ticket]:
+        """Return the first ticket of each lane that is no guest."""
+        lanes = (
+            lane
+            for row in self._rows.values()
+            if row.size
+            for lane in row.order
+        )
+        found = (lane.own_head() for lane in lanes)
+        return [ticket for ticket in found if ticket is not None]
+
     def heads(self) -> list[Ticket]:
         """Return the first ticket of each lane, best first."""
         rows = sorted(
--- /dev/null
+++ b/tests/fakestore.py
@@ -0,0 +1,68 @@
+"""A store in memory whose calls can be made to fail in each way."""
+
+from __future__ import annotations
+
+import attrs
+
+from jujubebend import errors
+from jujubebend_platform import store
+
+
+@attrs.define(eq=False)
+class FakeStore:
+    """Compare-and-swap over a dictionary.
+
+    ``lose`` counts writes that take effect with their answer lost, and
+    ``drop`` writes that are lost before they take effect.
+    """
+
+    items: dict[str, store.Item] = attrs.field(factory=dict)
+    revision: int = 0
+    lose: int = 0
+    drop: int = 0
+    down: bool = False
+    puts: int = 0
+
+    async def get(self, key):
+        self._check()
+        return self.items.get(key)
+
+    async def put(self, key, text, expect):
+        self._check()
+        self.puts += 1
+        if self.drop:
+            self.drop -= 1
+            raise errors.UnreachableError('dropped')
+        current = self.items.get(key)
+        revision = current.revision if current else 0
+        if revision != expect:
+            raise store.ConflictError(key, revision)
+        if len(text) > store.LARGEST_VALUE_BYTES:
+            raise errors.RefusedError('too large')
+        self.revision += 1
+        self.items[key] = store.Item(key, text, self.revision)
+        if self.lose:
+            self.lose -= 1
+            raise errors.UnreachableError('answer lost')
+        return self.revision
+
+    async def delete(self, key, expect):
+        self._check()
+        self.items.pop(key, None)
+
+    async def range(self, prefix):
+        self._check()
+        found = [
+            item for key, item in self.items.items() if key.startswith(prefix)
+        ]
+        return store.Changes(found, self.revision)
+
+    async def watch(self, prefix, after, wait):
+        return await self.range(prefix)
+
+    async def close(self):
+        """Nothing to let go of."""
+
+    def _check(self):
+        if self.down:
+            raise errors.UnreachableError('down')
