--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: our policy beside a naive baseline, in one run."""
--- a/packages/jujubebend/src/jujubebend/ledger.py
+++ b/packages/jujubebend/src/jujubebend/ledger.py
@@ -62,7 +62,7 @@
         self.places[place.name] = place
         self.total += place.capacity
         self._index.racks[place.name] = place.rack
-        self._reindex()
+        self.reindex()
 
     def remove(self, name: str) -> list[Hold]:
         """Drop a worker and return the holds that go with it."""
@@ -77,7 +77,7 @@
         self.total -= place.capacity
         if self.earmarked == name:
             self.earmarked = ''
-        self._reindex()
+        self.reindex()
         return lost
 
     def find(
@@ -150,7 +150,7 @@
         place.pace += SPEED_WEIGHT * (ratio - place.pace)
         ranked = self._ranked.get(name, 1)
         if not ranked / RANK_STEP <= place.pace <= ranked * RANK_STEP:
-            self._reindex()
+            self.reindex()
 
     def earmark(self, demand: resources.Resources) -> None:
         """Keep the least held worker that could hold ``demand`` free.
@@ -190,7 +190,8 @@
     def _room_changed(self, place: Place) -> None:
         self._index.update(place.name, self._room(place))
 
-    def _reindex(self) -> None:
+    def reindex(self) -> None:
+        """Order the workers anew, the fastest first; O(n log n)."""
         ordered = sorted(
             self.places.values(), key=lambda pl: (pl.pace, pl.name)
         )
--- /dev/null
+++ b/properties/__init__.py
@@ -0,0 +1,1 @@
+"""Property tests: drawn histories against naive versions."""
--- /dev/null
+++ b/properties/test_input.py
@@ -0,0 +1,123 @@
+"""Fuzzing of what people and peers send: a typed error or a result."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import hypothesis
+import orjson
+from google.protobuf import message
+from hypothesis import strategies
+
+from jujubebend import errors, manifest
+from jujubebend_entry import callers, settings
+from jujubebend_platform import httpclient, httpmessage, httpserver
+from jujubebend_wire import entry_pb2
+
+scalars = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(-(2**70), 2**70),
+    strategies.floats(allow_nan=False, allow_infinity=False),
+    strategies.text(max_size=20),
+)
+trees = strategies.recursive(
+    scalars,
+    lambda inner: strategies.one_of(
+        strategies.lists(inner, max_size=4),
+        strategies.dictionaries(
+            strategies.sampled_from((
+                'name',
+                'service',
+                'team',
+                'class',
+                'deadline_ms',
+                'resources',
+                'idempotent',
+                'payload',
+                'tasks',
+                'slots',
+                'cpus',
+                'teams',
+                'kinds',
+                'services',
+                'zone',
+                'zones',
+            )),
+            inner,
+            max_size=8,
+        ),
+    ),
+    max_leaves=20,
+)
+
+
+def _dump(tree):
+    with contextlib.suppress(TypeError):
+        return orjson.dumps(tree)
+    return b'{'
+
+
+@hypothesis.given(trees)
+def test_bodies_are_read_or_refused(tree):
+    for read in (callers.read_request, callers.read_job):
+        with contextlib.suppress(errors.InvalidInputError):
+            read(_dump(tree))
+
+
+@hypothesis.given(trees)
+def test_texts_and_settings_are_read_or_refused(tree):
+    text = _dump(tree).decode()
+    for parse in (manifest.parse, settings.parse):
+        with contextlib.suppress(errors.InvalidInputError):
+            parse(text)
+
+
+@hypothesis.given(strategies.text(max_size=200))
+def test_any_text_is_read_or_refused(text):
+    for parse in (manifest.parse, settings.parse):
+        with contextlib.suppress(errors.InvalidInputError):
+            parse(text)
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_inner_messages_are_read_or_refused(sent):
+    for kind in (
+        entry_pb2.Heartbeat,
+        entry_pb2.RunQuery,
+        entry_pb2.CallerQuery,
+    ):
+        with contextlib.suppress(message.DecodeError):
+            kind.FromString(sent)
+
+
+@hypothesis.settings(max_examples=40)
+@hypothesis.given(
+    strategies.one_of(
+        strategies.binary(min_size=1, max_size=300),
+        strategies.binary(max_size=60).map(
+            lambda noise: b'POST /v1/requests HTTP/1.1\r\n' + noise
+        ),
+    )
+)
+def test_the_http_door_outlives_any_bytes(sent):
+    async def echo(req):
+        return httpmessage.Reply(200, req.body)
+
+    async def scenario():
+        limits = httpserver.Limits(idle_seconds=1, request_seconds=1)
+        server = httpserver.Server(echo, limits)
+        await server.start('127.0.0.1', 0)
+        address = f'127.0.0.1:{server.port}'
+        reader, writer = await asyncio.open_connection('127.0.0.1', server.port)
+        writer.write(sent)
+        writer.write_eof()
+        await reader.read()
+        writer.close()
+        async with httpclient.opened(address, 1) as one:
+            reply = await one.call('POST', '/', b'own', timeout=5)
+        await server.stop(0)
+        return reply.body
+
+    assert asyncio.run(scenario()) == b'own'
--- /dev/null
+++ b/properties/test_leases.py
@@ -0,0 +1,150 @@
+"""A model of lease and intent, over interleavings of two owners.
+
+A home writes an intent and an owner sends a start that may be delayed past
+any pause. The worker may be restarted. Whatever the order, the attempt runs
+at most once, and a verdict is never contradicted by the worker.
+"""
+
+from __future__ import annotations
+
+import attrs
+import hypothesis
+from hypothesis import strategies
+
+from jujubebend import intent, lease
+
+TTL = 10.0
+
+
+@attrs.define
+class _Worker:
+    """A worker as its protocol has it: referee, running, refused."""
+
+    boot: int = 0
+    referee: lease.Referee = attrs.field(factory=lease.Referee)
+    ran: list[str] = attrs.field(factory=list)
+    known: set[str] = attrs.field(factory=set)
+    refused: set[str] = attrs.field(factory=set)
+
+    def start(self, attempt, boot, epoch, now):
+        try:
+            self.referee.check(epoch, now)
+        except lease.StaleEpochError:
+            return
+        fresh = attempt not in self.known | self.refused
+        if boot == self.boot and fresh:
+            self.ran.append(attempt)
+            self.known.add(attempt)
+
+    def settle(self, attempt, epoch, now):
+        try:
+            self.referee.check(epoch, now)
+        except lease.StaleEpochError:
+            return None
+        known = intent.Known.ABSENT
+        if attempt in self.known:
+            known = intent.Known.RUNNING
+        else:
+            self.refused.add(attempt)
+        return intent.Report(
+            str(self.boot),
+            self.referee.epoch,
+            known,
+            refused=attempt in self.refused,
+        )
+
+    def restart(self):
+        self.boot += 1
+        self.referee = lease.Referee()
+        self.known.clear()
+        self.refused.clear()
+
+
+moves = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(
+            strategies.just('lease'), strategies.sampled_from((0, 1))
+        ),
+        strategies.tuples(
+            strategies.just('intend'), strategies.sampled_from((0, 1))
+        ),
+        strategies.tuples(
+            strategies.just('deliver'), strategies.integers(0, 9)
+        ),
+        strategies.tuples(
+            strategies.just('settle'), strategies.sampled_from((0, 1))
+        ),
+        strategies.tuples(
+            strategies.just('pass'), strategies.sampled_from((1, 6, 11))
+        ),
+        strategies.just(('restart',)),
+    ),
+    max_size=40,
+)
+
+
+class _Model:
+    """One request with one home; its attempts may go through two owners."""
+
+    def __init__(self):
+        self.worker = _Worker()
+        self.now = 0.0
+        self.grants = [None, None]
+        self.open = None
+        self.attempts = 0
+        self.in_flight = []
+        self.never_ran = set()
+        self.unknown = False
+
+    def lease(self, owner):
+        grant = self.worker.referee.acquire(f'o{owner}', TTL, self.now)
+        if grant is not None:
+            self.grants[owner] = (grant.epoch, self.worker.boot)
+
+    def intend(self, owner):
+        if self.open or self.unknown or not self.grants[owner]:
+            return
+        epoch, boot = self.grants[owner]
+        self.attempts += 1
+        name = f'a{self.attempts}'
+        self.open = intent.Intent(name, 'w', str(boot), epoch)
+        self.in_flight.append((name, boot, epoch))
+
+    def deliver(self, at):
+        """Deliver a start, maybe late, maybe twice: it stays in flight."""
+        if self.in_flight:
+            sent = self.in_flight[at % len(self.in_flight)]
+            self.worker.start(*sent, self.now)
+
+    def settle(self, owner):
+        if not self.open or not self.grants[owner]:
+            return
+        epoch, _ = self.grants[owner]
+        report = self.worker.settle(self.open.attempt, epoch, self.now)
+        if report is None:
+            return
+        verdict = intent.settle(self.open, report)
+        if verdict is intent.Verdict.NEVER_RAN:
+            self.never_ran.add(self.open.attempt)
+            self.open = None
+        elif verdict is intent.Verdict.UNKNOWN:
+            self.unknown = True
+
+    def check(self):
+        assert len(self.worker.ran) <= 1, self.worker.ran
+        assert not self.never_ran & set(self.worker.ran)
+
+
+@hypothesis.settings(max_examples=1500)
+@hypothesis.given(moves)
+def test_an_attempt_runs_at_most_once(drawn):
+    model = _Model()
+    for move in drawn:
+        match move:
+            case ('pass', seconds):
+                model.now += seconds
+            case ('restart',):
+                model.worker.restart()
+            case (name, argument):
+                getattr(model, name)(argument)
+        model.check()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; each file mirrors one module."""
