--- a/properties/test_leases.py
+++ b/properties/test_leases.py
@@ -99,6 +99,8 @@
     def lease(self, owner):
         grant = self.worker.referee.acquire(f'o{owner}', TTL, self.now)
         if grant is not None:
+            # A worker need not remember what it refused under an old epoch.
+            self.worker.refused.clear()
             self.grants[owner] = (grant.epoch, self.worker.boot)
 
     def intend(self, owner):
--- a/scenarios/runner/play.py
+++ b/scenarios/runner/play.py
@@ -76,11 +76,12 @@
         await asyncio.gather(*every, return_exceptions=True)
         if self.balancer is not None:
             await self.balancer.close()
-        if self.seen is not None:
+        if self.seen is not None and self.balancer is not None:
             plain = [attrs.asdict(one) for one in self.seen.results]
             path = self.folder / 'results.json'
             path.write_bytes(orjson.dumps(plain))
             await self._dump_states()
+        if self.seen is not None:
             self.cell.close()
 
     async def _dump_states(self) -> None:
