--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -128,7 +128,9 @@
     }
     for _ in range(min(DECISIONS, 300)):
         began = time.perf_counter()
-        next((n for n, room in rooms.items() if loads.SLOT.fits(room)), '')
+        next(
+            (name for name, room in rooms.items() if loads.SLOT.fits(room)), ''
+        )
         scans.append(time.perf_counter() - began)
     return {
         'workers': workers,
--- a/benchmarks/loads.py
+++ b/benchmarks/loads.py
@@ -39,6 +39,8 @@
     'mesh-design': ('chainworks', 25, 4),
 }
 URGENT = ('quote-check', 'stock-check', 'tile-order')
+URGENT_SECONDS = 10
+PATIENT_SECONDS = 600
 FLOOD_TIMES = 10
 FLOOD_PART = 1
 FLOOD_FROM = 10.0
@@ -100,6 +102,7 @@
 ) -> list[engine.Work]:
     found = []
     now = window[0]
+    patience = URGENT_SECONDS if kind in URGENT else PATIENT_SECONDS
     while True:
         now += rng.expovariate(rate)
         if now >= window[1]:
@@ -114,7 +117,7 @@
                 now,
                 runs,
                 SLOT,
-                deadline=now + (10 if kind in URGENT else 600),
+                deadline=now + patience,
             )
         )
 
--- a/packages/jujubebend-entry/src/jujubebend_entry/heartbeat.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/heartbeat.py
@@ -85,10 +85,13 @@
         now = _now()
         own = self.view.own
         digest = self.describe()
-        alive = self.view.alive(now, own.zone) if to_zone != own.zone else []
-        members = [
-            self._info(member, now) for member in alive if member is not own
-        ]
+        members = []
+        if to_zone != own.zone:
+            members = [
+                self._info(member, now)
+                for member in self.view.alive(now, own.zone)
+                if member is not own
+            ]
         return entry_pb2.Heartbeat(
             sender=self._info(own, own.heard or now),
             zone_members=members,
--- a/packages/jujubebend/src/jujubebend/membership.py
+++ b/packages/jujubebend/src/jujubebend/membership.py
@@ -131,4 +131,5 @@
     """Say which of two hosts sends, evenly over all pairs."""
     first, second = sorted((name, other))
     is_even = weigh(first, second) % 2 == 0
-    return name == (first if is_even else second)
+    sender = first if is_even else second
+    return name == sender
--- a/properties/test_placement.py
+++ b/properties/test_placement.py
@@ -156,7 +156,7 @@
             assert place.capacity - place.held == self._room(name)
         sizes = self.waiting.sizes()
         for kind in ('quick', 'slow'):
-            waiting = [t for t in self.queued.values() if t.kind == kind]
+            waiting = [one for one in self.queued.values() if one.kind == kind]
             assert sizes[kind] == len(waiting)
             assert sizes[kind] <= 8
         self._check_urgent()
--- a/tests/jujubebend/test_membership.py
+++ b/tests/jujubebend/test_membership.py
@@ -59,7 +59,7 @@
         late = membership.due_targets(view, 102)
         assert len(late) == len(names) - 1
     assert len(sent) == len(names) * (len(names) - 1) // 2
-    assert all((b, a) not in sent for a, b in sent)
+    assert all((other, name) not in sent for name, other in sent)
 
 
 def test_heartbeats_go_to_the_zone_and_one_host_of_each_other():
