Split home: held shards and services have modules of their own

Behaviour as before, but for a service that was withdrawn and is wanted again: it was never started until its record was forgotten; now it is.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -32,10 +32,14 @@
     return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
 
 
+def _start_of(work: engine.Work, end: float) -> float:
+    return end if work.started < 0 else work.started
+
+
 def _waits(run: engine.Run, kinds: tuple[str, ...], end: float) -> list[float]:
     """Return waits by virtual time; what never started waited to the end."""
     return [
-        (work.started if work.started >= 0 else end) - work.arrives
+        _start_of(work, end) - work.arrives
         for work in run.works
         if work.kind in kinds and not work.refused and work.cancelled_at > end
     ]
--- a/packages/jujubebend-entry/src/jujubebend_entry/door.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/door.py
@@ -10,7 +10,7 @@
 import eliot
 
 from jujubebend import errors, outcome, resources
-from jujubebend_entry import callers, dispatcher, home, metrics
+from jujubebend_entry import callers, dispatcher, heldshard, home, metrics
 from jujubebend_platform import httpmessage
 
 JOB_SECONDS = 10.0
@@ -115,14 +115,14 @@
             callers.check_key(key)
         now = asyncio.get_running_loop().time()
         deadline = now + body.deadline_ms / MILLI
-        work = self.home.request_work(body, deadline)
+        work = heldshard.request_work(self.home.text(), body, deadline)
         self._check_size(body.resources)
         if not self.ready:
             return callers.not_run('this host is starting', 1)
         if body.idempotent:
             return await self._serve(req, work)
         shard = self.home.shard_of(f'{body.team}/{key}')
-        call = home.Call(
+        call = heldshard.Call(
             'POST',
             REQUESTS,
             f'{body.team}/{key}',
@@ -169,7 +169,9 @@
             callers.check_key(given)
             shard = self.home.shard_of(f'{body.team}/{given}')
             key = callers.digest(f'{body.team}/{given}'.encode())
-        call = home.Call('POST', JOBS, key, req.body, shard, _job_deadline())
+        call = heldshard.Call(
+            'POST', JOBS, key, req.body, shard, _job_deadline()
+        )
         return await self.home.route(call)
 
     async def _job(self, req: httpmessage.Request) -> httpmessage.Reply:
@@ -178,7 +180,9 @@
         if shard not in self.home.cfg.shards():
             status = http.HTTPStatus.NOT_FOUND
             return httpmessage.problem(status, f'job {job_id!r} does not exist')
-        call = home.Call(req.method, req.path, '', b'', shard, _job_deadline())
+        call = heldshard.Call(
+            req.method, req.path, '', b'', shard, _job_deadline()
+        )
         return await self.home.route(call)
 
     def _check_size(self, demand: resources.Resources) -> None:
--- a/packages/jujubebend-entry/src/jujubebend_entry/servicer.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/servicer.py
@@ -11,6 +11,7 @@
 from jujubebend import errors, intent, outcome, queue
 from jujubebend_entry import (
     heartbeat,
+    heldshard,
     home,
     owner,
     peers,
@@ -146,7 +147,7 @@
     async def Forward(self, request, context):  # noqa: N802
         """Handle a caller's call on a shard that is held here."""
         now = asyncio.get_running_loop().time()
-        call = home.Call(
+        call = heldshard.Call(
             request.method,
             request.path,
             request.key,
--- a/packages/jujubebend/src/jujubebend/records.py
+++ b/packages/jujubebend/src/jujubebend/records.py
@@ -107,6 +107,16 @@
         """Say whether every task has ended and none still runs."""
         return self.ended_at > 0
 
+    def open_tasks(self) -> list[str]:
+        """Return the tasks that have an intent without an end."""
+        return [
+            name for name, task in self.tasks.items() if task.intent is not None
+        ]
+
+    def matches(self, spec: str) -> bool:
+        """Say whether the record stands and has this spec."""
+        return not self.cancelled and self.spec == spec
+
     def is_forgettable(self, before: float) -> bool:
         """Say whether the record ended before a time.
 
@@ -262,6 +272,9 @@
 
 def _scale(record: Record, entry: Scaled) -> None:
     record.spec = entry.spec
+    # A service that was withdrawn is wanted again.
+    record.cancelled = False
+    record.ended_at = 0
     wanted = set(entry.tasks)
     for name in entry.tasks:
         record.tasks.setdefault(name, Task())
--- a/tests/jujubebend/test_records.py
+++ b/tests/jujubebend/test_records.py
@@ -63,3 +63,13 @@
     assert not made.forget(100)
     made.apply(_end(final=False))
     assert [record.id for record in made.forget(100)] == ['r']
+
+
+def test_a_withdrawn_service_may_be_wanted_again():
+    made = _accepted(records.SERVICE)
+    made.apply(records.Cancelled('r', 3))
+    assert made.by_id['r'].is_ended()
+    made.apply(records.Scaled('r', ['t', 'u'], 'spec'))
+    assert not made.by_id['r'].is_ended()
+    assert made.by_id['r'].matches('spec')
+    assert set(made.by_id['r'].tasks) == {'t', 'u'}
