Refuse a size only where all that could hold it are known

Cause (found by reading): the door compared a request with the workers of its own host, so a host that owns small workers refused what a peer's could hold. Heartbeats now carry the distinct sizes; idempotent work is compared with the zone's, once all its hosts are known, all else with the text's largest worker.

--- a/packages/jujubebend-entry/src/jujubebend_entry/app.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/app.py
@@ -10,7 +10,7 @@
 import eliot
 import grpc
 
-from jujubebend import errors, membership, resources
+from jujubebend import errors, membership
 from jujubebend_entry import (
     dispatcher,
     door,
@@ -258,7 +258,9 @@
         platform,
         calls,
         lambda: heartbeat.Digest(
-            owned.largest_room(), len(owned.queue.tickets)
+            owned.largest_room(),
+            len(owned.queue.tickets),
+            owned.ledger.capacities(),
         ),
         fixed_addresses={peer.name: peer.address for peer in cfg.peers},
     )
@@ -282,9 +284,7 @@
 ) -> App:
     told = settler.Settler(owned, recorded, calls)
     counted = metrics.Metrics()
-    front = door.Door(
-        dispatch, recorded, counted, dict, lambda: _largest(owned)
-    )
+    front = door.Door(dispatch, recorded, counted, dict)
     limits = httpserver.Limits(
         body_bytes=cfg.limits.body_bytes,
         header_bytes=cfg.limits.header_bytes,
@@ -315,7 +315,3 @@
     beats.changed = app.changed
     front.describe = app.describe
     return app
-
-
-def _largest(owned: owner.Owner) -> list[resources.Resources]:
-    return [place.capacity for place in owned.ledger.places.values()]
--- a/packages/jujubebend-entry/src/jujubebend_entry/dispatcher.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/dispatcher.py
@@ -149,6 +149,16 @@
             return await self.owner.reserve(ticket, wait)
         return await self._reserve_at(member, ticket, wait)
 
+    def zone_capacities(self) -> set[resources.Resources]:
+        """Return the sizes of the zone's workers, empty while not all known."""
+        found = {place.capacity for place in self.owner.ledger.places.values()}
+        for member in self._zone_peers():
+            digest = self.beats.digests.get(member.name)
+            if digest is None:
+                return set()
+            found |= digest.capacities
+        return found
+
     async def run(self, grant: grants.Grant, work: Work) -> outcome.Outcome:
         """Run unrecorded work on reserved room, to its end or deadline."""
         task = work.task(grant.id)
@@ -308,7 +318,8 @@
         except errors.UnreachableError:
             return None
         room = peers.from_amounts(reply.largest_room)
-        self.beats.digests[member.name] = heartbeat.Digest(room, 0)
+        known = self.beats.digests.get(member.name, heartbeat.Digest(room))
+        self.beats.digests[member.name] = attrs.evolve(known, room=room)
         if not reply.granted:
             return None
         return grants.Grant(
--- a/packages/jujubebend-entry/src/jujubebend_entry/door.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/door.py
@@ -26,15 +26,13 @@
 class Door:
     """Answers HTTP requests from the parts of this host.
 
-    ``describe`` gives the state of the whole process, ``largest`` what the
-    largest known worker holds.
+    ``describe`` gives the state of the whole process.
     """
 
     dispatcher: dispatcher.Dispatcher
     home: home.Home
     metrics: metrics.Metrics
     describe: abc.Callable[[], dict]
-    largest: abc.Callable[[], list[resources.Resources]]
     ready: bool = False
     draining: bool = False
     open_requests: int = 0
@@ -116,7 +114,11 @@
         now = asyncio.get_running_loop().time()
         deadline = now + body.deadline_ms / MILLI
         work = heldshard.request_work(self.home.text(), body, deadline)
-        self._check_size(body.resources)
+        self._check_size(body.resources, '$')
+        if body.idempotent:
+            # Such work stays in the zone, all of whose workers are known.
+            zone = self.dispatcher.zone_capacities()
+            _check_fits(body.resources, zone, '$')
         if not self.ready:
             return callers.not_run('this host is starting', 1)
         if body.idempotent:
@@ -158,8 +160,8 @@
     async def _submit_job(self, req: httpmessage.Request) -> httpmessage.Reply:
         body = callers.read_job(req.body)
         callers.check_names(self.home.text(), body.service, body.team)
-        for task in body.tasks:
-            self._check_size(task.resources)
+        for number, task in enumerate(body.tasks):
+            self._check_size(task.resources, f'$.tasks[{number}]')
         if not self.ready:
             return callers.not_run('this host is starting', 1)
         given = req.headers.get('idempotency-key', '')
@@ -185,21 +187,28 @@
         )
         return await self.home.route(call)
 
-    def _check_size(self, demand: resources.Resources) -> None:
-        """Refuse what no known worker could hold, naming what is short."""
-        largest = self.largest()
-        if not largest or any(demand.fits(one) for one in largest):
-            return
-        short = min(
-            (demand.shortage(one) for one in largest),
-            key=lambda name: name == 'slots',
-        )
-        fault = errors.Fault(
-            f'$.resources.{short}',
-            f'no worker holds that many {short}',
-            'ask for less',
-        )
-        raise errors.InvalidInputError('request', [fault])
+    def _check_size(self, demand: resources.Resources, path: str) -> None:
+        """Refuse what the text says that no worker could hold."""
+        largest = self.home.text().largest_worker
+        if largest is not None:
+            _check_fits(demand, {largest}, path)
+
+
+def _check_fits(
+    demand: resources.Resources,
+    sizes: abc.Set[resources.Resources],
+    path: str,
+) -> None:
+    """Raise if no worker of these sizes holds ``demand``, naming why."""
+    if not sizes or any(demand.fits(one) for one in sizes):
+        return
+    short = min(demand.shortage(one) for one in sizes)
+    fault = errors.Fault(
+        f'{path}.resources.{short}',
+        f'no worker holds that many {short}',
+        'ask for less',
+    )
+    raise errors.InvalidInputError('request', [fault])
 
 
 def _job_deadline() -> float:
--- a/packages/jujubebend-entry/src/jujubebend_entry/heartbeat.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/heartbeat.py
@@ -16,10 +16,14 @@
 
 @attrs.frozen
 class Digest:
-    """What a peer said of its workers: the largest room, how many wait."""
+    """What a peer said of its workers.
+
+    ``capacities`` are the distinct sizes of the workers it owns.
+    """
 
     room: resources.Resources
-    waiting: int
+    waiting: int = 0
+    capacities: frozenset[resources.Resources] = frozenset()
 
 
 @attrs.define(eq=False)
@@ -99,6 +103,7 @@
             host_list_revision=self.platform.listed.revision,
             largest_room=peers.to_amounts(digest.room),
             waiting=digest.waiting,
+            capacities=map(peers.to_amounts, digest.capacities),
         )
 
     def heard(self, message: entry_pb2.Heartbeat) -> None:
@@ -109,7 +114,9 @@
             if info.name != self.view.own.name:
                 changed |= self._heard_member(info, now - info.age_seconds)
         self.digests[message.sender.name] = Digest(
-            peers.from_amounts(message.largest_room), message.waiting
+            peers.from_amounts(message.largest_room),
+            message.waiting,
+            frozenset(map(peers.from_amounts, message.capacities)),
         )
         if self._is_behind(message) and not self._fetching:
             self._fetching = True
--- a/packages/jujubebend/src/jujubebend/ledger.py
+++ b/packages/jujubebend/src/jujubebend/ledger.py
@@ -174,6 +174,10 @@
         """Return the largest room on any usable worker, by dimension."""
         return self._index.largest()
 
+    def capacities(self) -> frozenset[resources.Resources]:
+        """Return the distinct sizes of the owned workers."""
+        return frozenset(place.capacity for place in self.places.values())
+
     def could_hold(self, demand: resources.Resources) -> bool:
         """Say whether an owned worker could hold ``demand`` when empty."""
         return any(
