--- a/packages/jujubebend-ctl/src/jujubebend_ctl/main.py
+++ b/packages/jujubebend-ctl/src/jujubebend_ctl/main.py
@@ -10,7 +10,7 @@
 
 import orjson
 import typer
-from rich import console, table
+from rich import console, progress, table
 
 from jujubebend import errors, manifest
 from jujubebend_ctl import client, submit, trial
@@ -88,7 +88,12 @@
     idempotency key.
     """
     lines = _run(_read_lines(_read(file), file))
-    sent = _run(submit.send_all(list(host), lines, wait=wait))
+    with progress.Progress(console=console.Console(stderr=True)) as shown:
+        task = shown.add_task('sent', total=len(lines))
+        sending = submit.send_all(
+            list(host), lines, wait=wait, ended=lambda: shown.advance(task)
+        )
+        sent = _run(sending)
     if as_json:
         _print_json([one.to_json() for one in sent])
     else:
--- a/packages/jujubebend-ctl/src/jujubebend_ctl/submit.py
+++ b/packages/jujubebend-ctl/src/jujubebend_ctl/submit.py
@@ -5,6 +5,7 @@
 import asyncio
 import http
 import uuid
+from collections import abc
 
 import attrs
 import orjson
@@ -95,15 +96,24 @@
 
 
 async def send_all(
-    hosts: list[str], lines: list[Line], *, wait: bool
+    hosts: list[str],
+    lines: list[Line],
+    *,
+    wait: bool,
+    ended: abc.Callable[[], None],
 ) -> list[Sent]:
-    """Send every line, spread over the hosts in turn."""
+    """Send every line, spread over the hosts in turn.
+
+    ``ended`` is called after each line, to show progress.
+    """
     room = asyncio.Semaphore(AT_ONCE)
     clients = [httpclient.Client(host, AT_ONCE) for host in hosts]
 
     async def send(at: int, line: Line) -> Sent:
         async with room:
-            return await _send(clients[at % len(clients)], line, wait=wait)
+            sent = await _send(clients[at % len(clients)], line, wait=wait)
+        ended()
+        return sent
 
     try:
         sends = [send(at, line) for at, line in enumerate(lines)]
--- a/scenarios/runner/facts.py
+++ b/scenarios/runner/facts.py
@@ -38,6 +38,7 @@
     jobs: dict[str, str] = attrs.field(factory=dict)
     job_states: dict[str, dict] = attrs.field(factory=dict)
     left_at: dict[str, float] = attrs.field(factory=dict)
+    cancelled_at: dict[str, float] = attrs.field(factory=dict)
     race_winners: int = 0
     slow_revisions: list[str] = attrs.field(factory=list)
     went_back: list[str] = attrs.field(factory=list)
@@ -140,10 +141,26 @@
     return [
         f'job {name}: {seen.job_states.get(name, {}).get("state")}'
         for name in seen.jobs
-        if seen.job_states.get(name, {}).get('state') != 'done'
+        if name not in seen.cancelled_at
+        and seen.job_states.get(name, {}).get('state') != 'done'
     ]
 
 
+def _cancelled(seen: Evidence) -> list[str]:
+    """Nothing of a cancelled job starts after, and all of it ends."""
+    found = []
+    for name, at in seen.cancelled_at.items():
+        state = seen.job_states.get(name, {}).get('state')
+        if state != 'cancelled':
+            found.append(f'job {name}: {state}')
+        for event in seen.events():
+            is_late = event.at > at + QUIET_AFTER
+            mine = event.identity.startswith(f'{name}-')
+            if mine and is_late and event.what == 'start':
+                found.append(f'{event.identity}: started after its cancel')
+    return found
+
+
 def _served(seen: Evidence, percent: int) -> list[str]:
     answered = sum(one.last() == 'answered' for one in seen.results)
     share = 100 * answered / max(1, len(seen.results))
@@ -239,6 +256,7 @@
     'not-run-true': _not_run_true,
     'not-overfilled': _not_overfilled,
     'jobs-done': _jobs_done,
+    'cancelled': _cancelled,
     'none-lost': _none_lost,
     'in-force': _in_force,
     'one-winner': _one_winner,
--- a/scenarios/runner/language.py
+++ b/scenarios/runner/language.py
@@ -13,7 +13,7 @@
 
 GRAMMAR = r"""
 start: _NL* (step _NL+)* step?
-?step: cell | load | job | wait | kill | freeze | thaw | stop | restart
+?step: cell | load | job | cancel | wait | kill | freeze | thaw | stop | restart
      | cut | heal | store | hosts | worker | apply | race | finish | expect
 cell: "cell" "entries" INT "workers" INT
 load: "load" NAME INT "over" TIME "service" NAME "team" NAME option*
@@ -24,6 +24,7 @@
       | "deadline" TIME -> deadline
       | "fails" -> fails
 job: "job" NAME POLICY INT "service" NAME "team" NAME "work" TIME
+cancel: "cancel" NAME
 wait: "wait" TIME
 kill: "kill" NAME+
 freeze: "freeze" NAME+
@@ -44,7 +45,7 @@
 STORE_FAULT: "down" | "slow" | "loses-answers" | "well"
 WORKER_FAULT: "fails" | "doubles" | "late" | "leaves" | "well"
 FACT: "whole" | "once" | "exclusive" | "not-run-true" | "not-overfilled"
-    | "jobs-done" | "served" | "store-spared" | "in-force" | "none-lost"
+    | "jobs-done" | "cancelled" | "served" | "store-spared" | "in-force" | "none-lost"
     | "one-winner" | "replicas" | "quiet-leaver" | "few-failed-starts"
 NAME: /(?!over|service|team|from|say|within|replicas)[a-z][a-z0-9-]*/
 TIME: /\d+(\.\d+)?(ms|s)/
@@ -90,6 +91,13 @@
     work: float
 
 
+@attrs.frozen
+class Cancel:
+    """Cancel a job by its name."""
+
+    name: str
+
+
 @attrs.frozen
 class Wait:
     """Let time pass, in seconds."""
@@ -161,6 +169,7 @@
     Cell
     | Load
     | Job
+    | Cancel
     | Wait
     | Signal
     | Cut
@@ -222,6 +231,9 @@
             _seconds(work),
         )
 
+    def cancel(self, words: list) -> Step:
+        return Cancel(str(words[0]))
+
     def wait(self, words: list) -> Step:
         return Wait(_seconds(words[0]))
 
--- a/scenarios/runner/load.py
+++ b/scenarios/runner/load.py
@@ -208,6 +208,18 @@
     raise errors.UnreachableError(f'job {plan.name} was not accepted')
 
 
+async def cancel_job(job_id: str, balancer: Balancer) -> bool:
+    """Cancel a job; say whether that was accepted."""
+    one = balancer.choose()
+    if one is None:
+        return False
+    try:
+        reply = await one.call('DELETE', f'/v1/jobs/{job_id}', timeout=DEADLINE)
+    except errors.UnreachableError:
+        return False
+    return reply.status == 200
+
+
 async def job_state(job_id: str, balancer: Balancer) -> dict:
     """Return a job as any ready host shows it, empty if none does."""
     one = balancer.choose()
--- a/scenarios/runner/play.py
+++ b/scenarios/runner/play.py
@@ -159,6 +159,16 @@
         await asyncio.sleep(POLL)
 
 
+@carry_out.register
+async def _cancel(step: language.Cancel, player: Player) -> None:
+    while step.name not in player.seen.jobs:
+        await asyncio.sleep(POLL)
+    job_id = player.seen.jobs[step.name]
+    while not await load.cancel_job(job_id, player.balancer):
+        await asyncio.sleep(POLL)
+    player.seen.cancelled_at[step.name] = time.time()
+
+
 @carry_out.register
 async def _wait(step: language.Wait, player: Player) -> None:
     await asyncio.sleep(step.seconds)
