--- a/packages/jujubebend-entry/src/jujubebend_entry/app.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/app.py
@@ -29,7 +29,6 @@
 from jujubebend_wire import entry_pb2_grpc
 
 REASSIGN_INTERVAL = 1.0
-START_WAIT = 10.0
 START_STEP = 0.1
 FOUND_WAIT = 1.2
 DRAIN_STEP = 0.05
--- a/packages/jujubebend-entry/src/jujubebend_entry/attempts.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/attempts.py
@@ -44,7 +44,6 @@
     task: str
     work: dispatcher.Work
     grant: grants.Grant
-    checkpoint: object = None
 
 
 @attrs.define(eq=False)
@@ -146,7 +145,7 @@
                 await self._inspect(due)
             await asyncio.sleep(INSPECT_INTERVAL)
 
-    async def stop(self, record_id: str, *, checkpoint: bool = False) -> None:
+    async def stop(self, record_id: str) -> None:
         """Stop every open attempt of a record."""
         record = self.shard.records.by_id.get(record_id)
         if record is None:
@@ -156,19 +155,17 @@
             for task in record.tasks.values()
             if task.intent is not None
         ]
-        stops = (self.stop_one(one, checkpoint=checkpoint) for one in opened)
+        stops = (self.stop_one(one) for one in opened)
         await asyncio.gather(*stops)
 
-    async def stop_one(
-        self, opened: intent.Intent, *, checkpoint: bool = False
-    ) -> None:
+    async def stop_one(self, opened: intent.Intent) -> None:
         """Ask the owner of a worker to stop an attempt there."""
         host = self.locator.owner_of(opened.worker)
         if not host:
             return
         try:
             await self.dispatcher.stop(
-                host, opened.worker, opened.attempt, checkpoint=checkpoint
+                host, opened.worker, opened.attempt, checkpoint=False
             )
         except errors.JujubebendError as exc:
             eliot.log_message(
@@ -227,7 +224,7 @@
     async def _start(self, record_id: str, launch: Launch) -> None:
         grant = launch.grant
         refused = await self.dispatcher.start(
-            grant, launch.work, self.shard.name, launch.checkpoint
+            grant, launch.work, self.shard.name
         )
         if refused is None:
             self._sure[grant.id] = _now() + INSPECT_QUIET_INTERVAL
--- a/packages/jujubebend-entry/src/jujubebend_entry/dispatcher.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/dispatcher.py
@@ -64,9 +64,7 @@
             sheddable=self.sheddable,
         )
 
-    def task(
-        self, attempt: str, home: str = '', checkpoint: object = None
-    ) -> worker.TaskStart:
+    def task(self, attempt: str, home: str = '') -> worker.TaskStart:
         """Return what a worker is told for one attempt."""
         group = ''
         if isinstance(self.wanted, policy.Spread):
@@ -80,7 +78,6 @@
             self.team,
             group,
             home,
-            checkpoint=checkpoint,
         )
 
 
@@ -177,14 +174,13 @@
         grant: grants.Grant,
         work: Work,
         home: str,
-        checkpoint: object = None,
     ) -> outcome.NotRun | outcome.Unknown | None:
         """Start recorded work; its end is told to its home.
 
         Returns ``NotRun`` if it was certainly not started and ``Unknown``
         if its owner did not answer.
         """
-        task = work.task(grant.id, home, checkpoint)
+        task = work.task(grant.id, home)
         if not grant.host:
             return await self.owner.start(task)
         return await self._run_remote(grant, task, peers.CALL_TIMEOUT)
--- a/packages/jujubebend-entry/src/jujubebend_entry/home.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/home.py
@@ -52,7 +52,6 @@
     peers: peers.Peers
     draining: bool = False
     _held: dict[str, heldshard.HeldShard] = attrs.field(factory=dict)
-    _unheard: dict[str, float] = attrs.field(factory=dict)
     _rng: random.Random = attrs.field(factory=random.Random)
     _group: tasks.TaskGroup = attrs.field(factory=tasks.TaskGroup)
 
@@ -159,11 +158,6 @@
         reports: dict[str, tuple[str, dict[str, str] | None]] = {}
         for found in await asyncio.gather(*asked):
             reports.update(found)
-        for one in intents:
-            if one.attempt in reports:
-                self._unheard.pop(one.attempt, None)
-            else:
-                self._unheard.setdefault(one.attempt, _now())
         return reports
 
     def is_lost(self, worker_name: str) -> bool:
--- a/packages/jujubebend-entry/src/jujubebend_entry/jobs.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/jobs.py
@@ -21,7 +21,6 @@
 TASKS_AT_ONCE = 64
 PLACE_WAIT = 3600.0
 GANG_WAIT = 5.0
-LOST_AFTER = 5.0
 DEPENDENCY_INTERVAL = 0.5
 FIRST_WAIT = 0.1
 LONGEST_WAIT = 10.0
@@ -163,25 +162,22 @@
 
 async def _run_task(job: Job, task: callers.JobTask) -> None:
     backoff = job.backoff()
-    checkpoint: object = None
     while job.is_wanted(task.name):
         try:
-            ended = await _run_task_once(job, task, checkpoint)
+            ended = await _run_task_once(job, task)
         except (errors.RefusedError, errors.UnreachableError):
             ended = outcome.NotRun('it could not be placed or recorded')
         if not isinstance(ended, outcome.Answered):
             await asyncio.sleep(backoff.draw())
 
 
-async def _run_task_once(
-    job: Job, task: callers.JobTask, checkpoint: object
-) -> outcome.Outcome:
+async def _run_task_once(job: Job, task: callers.JobTask) -> outcome.Outcome:
     opened = job.record.tasks[task.name].intent
     if opened is not None:
         return await job.attempts.wait_end(opened.attempt)
     work = job.work(task)
     grant = await job.attempts.dispatcher.place(work)
-    launch = attempts.Launch(task.name, work, grant, checkpoint)
+    launch = attempts.Launch(task.name, work, grant)
     ends = await job.attempts.launch(job.record.id, [launch])
     return await ends[0]
 
--- a/packages/jujubebend-platform/src/jujubebend_platform/httpmessage.py
+++ b/packages/jujubebend-platform/src/jujubebend_platform/httpmessage.py
@@ -96,10 +96,6 @@
                 # A peer that pipelines waits; nothing more is read for it.
                 await asyncio.Event().wait()
 
-    def is_gone(self) -> bool:
-        """Say whether the peer was seen to close."""
-        return bool(self._early) and not self._early[-1]
-
     async def _receive(self) -> bytes:
         if self._early:
             return self._early.popleft()
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -20,7 +20,7 @@
     started: list[str] = attrs.field(factory=list)
     released: list[str] = attrs.field(factory=list)
 
-    async def start(self, grant, work, home, checkpoint=None):
+    async def start(self, grant, work, home):
         if self.refuse:
             return outcome.NotRun('no')
         self.started.append(grant.id)
