--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
-PACKAGES = jujubebend jujubebend-wire jujubebend-platform jujubebend-standin jujubebend-entry jujubebend-ctl
+PACKAGES = jujubebend jujubebend-http jujubebend-wire jujubebend-platform jujubebend-standin jujubebend-entry jujubebend-ctl
 SOURCES = packages tests properties benchmarks scenarios
 
 .PHONY: demo test lint format unit sweep bench proto
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -21,7 +21,7 @@
 import typer
 
 from jujubebend import policy, queue, records, resources
-from jujubebend_platform import httpclient
+from jujubebend_http import httpclient
 from scenarios.runner import cell, load
 
 WORKER_POINTS = (5, 50, 100, 150)
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/__main__.py
@@ -0,0 +1,68 @@
+"""Runs the daemon of one host on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+from jujubebend import errors
+from jujubebend_adapter import advice, callers, settings, store, text, workers
+from jujubebend_cluster import app, logs, term
+
+USAGE_EXIT = 2
+
+
+def build(cfg: settings.Settings) -> app.App:
+    """Put a daemon together from its settings."""
+    made: list[app.App] = []
+    around = term.Surroundings(
+        store=store.Store(cfg.store),
+        connect=workers.Worker,
+        parse_worker=workers.parse_entry,
+        workers_prefix=text.WORKERS_PREFIX,
+        current_text=lambda: made[0].text,
+        lease=cfg.hold_max,
+        status_kept=cfg.status_kept,
+    )
+    addresses = app.Addresses(
+        front=cfg.front,
+        ready=cfg.ready,
+        peer=f'{cfg.ip}:{cfg.first_free_port}',
+        metrics=f'{cfg.ip}:{cfg.first_free_port + 1}',
+        ready_path=callers.READY_PATH,
+    )
+    made.append(
+        app.App(
+            host=cfg.host,
+            addresses=addresses,
+            around=around,
+            advisor=advice.Advisor(cfg.advice) if cfg.advice else None,
+            form=callers,
+            text_key=text.KEY,
+            text_prefix=text.PREFIX,
+            parse_text=text.parse,
+            grace=cfg.grace,
+        )
+    )
+    return made[0]
+
+
+async def serve(cfg: settings.Settings) -> None:
+    """Run a daemon until it is asked to stop."""
+    await build(cfg).run()
+
+
+def main() -> int:
+    """Run the daemon; return its exit status."""
+    try:
+        cfg = settings.load()
+    except errors.InvalidInputError as exc:
+        sys.stderr.write(f'{exc}\n')
+        return USAGE_EXIT
+    logs.open_sink(cfg.host)
+    asyncio.run(serve(cfg))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/advicedesk.py
@@ -0,0 +1,119 @@
+"""Asks for placement advice across the cell's hosts.
+
+The advice service serves one call at a time for each calling host, so the
+leader spreads its calls over its peers, each time to the one that will be
+free first.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import abc
+
+import attrs
+
+from jujubebend import errors
+from jujubebend_cluster import book, clock, fleet, jobspec, logs
+
+MOST_WORKERS = 30  # named in one call; the objective counts one call on 30
+TICKET_MARGIN = 0.2  # seconds; a record and a start must fit into it
+CALL_SLACK = 1.5  # seconds beyond the time that the call should take
+LONGEST_BACKLOG = 2.5  # seconds of calls given to one host at once
+RETRY_PAUSE = 0.15  # seconds before a group asks again after a failure
+
+
+@attrs.define(eq=False)
+class Caller:
+    """One host's way to the service; ``busy_until`` is when it is free."""
+
+    address: str
+    ask: abc.Callable[
+        [str, abc.Sequence[str], float], abc.Awaitable[dict[str, str]]
+    ]
+    busy_until: float = 0
+    failed_until: float = 0
+
+
+@attrs.define(eq=False)
+class AdviceDesk:
+    """Keeps the tickets of groups current."""
+
+    callers: dict[str, Caller] = attrs.field(factory=dict)
+    asked: int = 0
+
+    def choose(
+        self, policy: jobspec.AdvicePolicy, workers: int, now: float
+    ) -> Caller | None:
+        """Return the caller that is free first, None if all are too busy."""
+        able = [one for one in self.callers.values() if now >= one.failed_until]
+        if not able:
+            return None
+        best = min(able, key=lambda one: (one.busy_until, random.random()))
+        if best.busy_until - now > LONGEST_BACKLOG:
+            return None
+        cost = policy.decide + policy.each * workers
+        best.busy_until = max(now, best.busy_until) + cost
+        return best
+
+    async def renew(
+        self,
+        group: book.Group,
+        policy: jobspec.AdvicePolicy,
+        workers: abc.Sequence[fleet.Worker],
+        caller: Caller,
+    ) -> None:
+        """Ask which of ``workers`` may run the group's step."""
+        names = [worker.name for worker in workers]
+        tickets = group.tickets
+        sent = clock.now()
+        cost = policy.decide + policy.each * len(names)
+        wait = max(0.0, caller.busy_until - sent) + cost + CALL_SLACK
+        self.asked += 1
+        try:
+            good = await caller.ask(group.step_name(), names, wait)
+        except (errors.RefusedError, errors.UnreachableError) as exc:
+            caller.failed_until = clock.now() + RETRY_PAUSE
+            logs.decision(
+                'advice_failed',
+                job=group.job.spec.job,
+                step=group.step_name(),
+                caller=caller.address,
+                why=str(exc),
+            )
+            return
+        finally:
+            tickets.asking = False
+        now = clock.now()
+        until = now + policy.valid - TICKET_MARGIN
+        tickets.asked.update(names)
+        tickets.asked_at = now
+        for name in names:
+            if name in good:
+                tickets.good[name] = (good[name], until)
+        logs.decision(
+            'advice',
+            job=group.job.spec.job,
+            step=group.step_name(),
+            asked=len(names),
+            good=len(good),
+            seconds=round(now - sent, 3),
+            caller=caller.address,
+        )
+
+    def candidates(
+        self, group: book.Group, usable: abc.Sequence[fleet.Worker], now: float
+    ) -> list[fleet.Worker]:
+        """Return the workers worth naming: with room first, never refused."""
+        tickets = group.tickets
+        step = group.step
+        worth = [
+            worker
+            for worker in usable
+            if worker.name in tickets.good or worker.name not in tickets.asked
+            if tickets.valid(worker.name, now) is None
+            if not step.required_label
+            or step.required_label in worker.entry.labels
+        ]
+        worth.sort(key=lambda worker: worker.used_cpu)
+        return worth[:MOST_WORKERS]
+
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
@@ -0,0 +1,375 @@
+"""The jobs of the cell and how far each has come.
+
+A job has a group for each step of each occurrence, and a group has tasks.
+Every change that must survive marks its job dirty; the leader writes dirty
+jobs to the store before it acts on them. Nothing here does I/O.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import abc
+
+import attrs
+import orjson
+
+from jujubebend_cluster import jobspec, ports
+
+
+class JobState(enum.Enum):
+    """What callers are told of a job."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+
+ENDED_STATES = frozenset((
+    JobState.COMPLETED,
+    JobState.FAILED,
+    JobState.CANCELLED,
+))
+
+
+class TaskState(enum.Enum):
+    """Where a task stands; PLACED covers all from the order to its end."""
+
+    WAITING = 'waiting'
+    PLACED = 'placed'
+    DONE = 'done'
+
+
+@attrs.define(eq=False)
+class Task:
+    """One task and its latest run; ``run`` counts starts from one.
+
+    ``answered_at`` is when a start or stop of this run was answered: a look
+    at the worker sent later than that must list the run.
+    """
+
+    name: jobspec.TaskName
+    group: Group
+    state: TaskState = TaskState.WAITING
+    run: int = 0
+    worker: str = ''
+    life: int = 0
+    failures: int = 0
+    checkpoint: str = ''
+    placed_at: float = 0
+    answered_at: float | None = None
+    stopping: bool = False
+    ordered: bool = False
+    percent: int = 0
+    moved_at: float = 0
+    failed_on: set[str] = attrs.field(factory=set)
+
+
+@attrs.define(eq=False)
+class Tickets:
+    """Which workers may run a group's step, and until when tickets hold.
+
+    Whether a worker may run the step never changes; only its ticket ages.
+    """
+
+    good: dict[str, tuple[str, float]] = attrs.field(factory=dict)
+    asked: set[str] = attrs.field(factory=set)
+    asking: bool = False
+    asked_at: float = 0
+
+    def valid(self, worker: str, now: float) -> str | None:
+        """Return the worker's ticket if it still holds."""
+        ticket, until = self.good.get(worker, ('', 0))
+        return ticket if now < until else None
+
+
+@attrs.define(eq=False)
+class Group:
+    """The tasks of one step in one occurrence."""
+
+    job: Job
+    occurrence: int
+    index: int
+    step: jobspec.Step
+    tasks: list[Task] = attrs.field(factory=list)
+    failures: int = 0
+    done: int = 0
+    placed: int = 0
+    ready_at: float | None = None
+    tickets: Tickets = attrs.field(factory=Tickets)
+
+    @property
+    def waiting(self) -> int:
+        """Return how many tasks have no run."""
+        return len(self.tasks) - self.done - self.placed
+
+    @property
+    def is_done(self) -> bool:
+        """Say whether every task is done."""
+        return self.done == len(self.tasks)
+
+    def waiting_tasks(self) -> list[Task]:
+        """Return the tasks that have no run."""
+        return [one for one in self.tasks if one.state is TaskState.WAITING]
+
+    def placed_tasks(self) -> list[Task]:
+        """Return the tasks that have a run."""
+        return [one for one in self.tasks if one.state is TaskState.PLACED]
+
+    def step_name(self) -> str:
+        """Return the name by which advice knows the step."""
+        return f'{self.job.spec.job}.{self.occurrence}.{self.index}'
+
+
+@attrs.define(eq=False)
+class Job:
+    """One accepted job."""
+
+    spec: jobspec.JobSpec
+    state: JobState = JobState.QUEUED
+    shown: JobState = JobState.QUEUED
+    begun: bool = False
+    groups: dict[tuple[int, int], Group] = attrs.field(factory=dict)
+    ended_at: float = 0
+    deadline: float = 0
+    restored: dict = attrs.field(factory=dict)
+
+    @property
+    def is_ended(self) -> bool:
+        """Say whether nothing of the job will start again."""
+        return self.state in ENDED_STATES
+
+
+@attrs.define(eq=False)
+class Book:
+    """Every job that is known, by its ID."""
+
+    jobs: dict[str, Job] = attrs.field(factory=dict)
+    live: dict[str, Job] = attrs.field(factory=dict)
+    dirty: dict[str, Job] = attrs.field(factory=dict)
+
+    def add(self, spec: jobspec.JobSpec, progress: bytes | None = None) -> Job:
+        """Add a job, with the progress that an earlier leader recorded."""
+        known = self.jobs.get(spec.job)
+        if known is not None:
+            return known
+        job = Job(spec)
+        self.jobs[spec.job] = job
+        if progress is not None:
+            _restore(job, orjson.loads(progress))
+        if not job.is_ended:
+            self.live[spec.job] = job
+            if not spec.occurrences:
+                self._open(job, 0)
+        return job
+
+    def open_due(self, job: Job, unix: float, now: float) -> None:
+        """Open the occurrences that are due and find steps that are ready."""
+        spec = job.spec
+        for occurrence in range(spec.occurrences):
+            if unix < spec.first_due + occurrence * spec.interval:
+                break
+            if (occurrence, 0) not in job.groups:
+                self._open(job, occurrence)
+        for group in job.groups.values():
+            if group.ready_at is None and self._is_ready(group):
+                group.ready_at = now
+
+    def find(self, name: jobspec.TaskName) -> Task | None:
+        """Return the task of that name, if its job is known."""
+        job = self.jobs.get(name.job)
+        group = job and job.groups.get((name.occurrence, name.step))
+        if not group or name.index >= len(group.tasks):
+            return None
+        return group.tasks[name.index]
+
+    def mark(self, job: Job) -> None:
+        """Note that the job's record must be written."""
+        self.dirty[job.spec.job] = job
+
+    def place(self, task: Task, worker: str, life: int, run: int) -> None:
+        """Give a task a new run on a worker."""
+        task.state = TaskState.PLACED
+        task.worker = worker
+        task.life = life
+        task.run = run
+        task.answered_at = None
+        task.stopping = False
+        task.ordered = False
+        task.percent = 0
+        group = task.group
+        group.placed += 1
+        group.job.begun = True
+        if not group.job.is_ended:
+            group.job.state = JobState.RUNNING
+        self.mark(group.job)
+
+    def release(self, task: Task) -> None:
+        """Take a task's run away: it has ended or can never begin."""
+        if task.state is not TaskState.PLACED:
+            return
+        task.state = TaskState.WAITING
+        task.worker = ''
+        task.stopping = False
+        task.group.placed -= 1
+        self.mark(task.group.job)
+
+    def ended(
+        self, task: Task, ending: ports.Ending, checkpoint: str, attempts: int
+    ) -> list[Task]:
+        """Note how a task's run ended; return tasks released with it.
+
+        One member that is done stands for its whole gang, since the members
+        are done together.
+        """
+        group = task.group
+        if checkpoint and task.state is TaskState.PLACED:
+            self._keep_checkpoint(task, checkpoint)
+        if ending is ports.Ending.DONE and not group.step.lasting:
+            return self._done(task)
+        self.release(task)
+        if ending is ports.Ending.FAILED and not group.step.lasting:
+            self._failed(task, attempts)
+        return [task]
+
+    def cancel(self, job: Job, now: float) -> None:
+        """End a job at its caller's wish."""
+        if not job.is_ended:
+            self._end(job, JobState.CANCELLED, now)
+
+    def settle(self, job: Job, now: float) -> None:
+        """Complete the job if all its tasks are done."""
+        occurrences = max(1, job.spec.occurrences)
+        wanted = occurrences * len(job.spec.steps)
+        if job.is_ended or len(job.groups) < wanted:
+            return
+        if all(group.is_done for group in job.groups.values()):
+            self._end(job, JobState.COMPLETED, now)
+
+    def forget(self, job: Job) -> None:
+        """Drop an ended job for good."""
+        self.jobs.pop(job.spec.job, None)
+        self.live.pop(job.spec.job, None)
+        self.dirty.pop(job.spec.job, None)
+
+    def _done(self, task: Task) -> list[Task]:
+        group = task.group
+        together = group.tasks if group.step.gang else [task]
+        released = []
+        for one in together:
+            if one.state is TaskState.DONE:
+                continue
+            if one.state is TaskState.PLACED:
+                group.placed -= 1
+                released.append(one)
+            one.state = TaskState.DONE
+            group.done += 1
+        self.mark(group.job)
+        return released
+
+    def _failed(self, task: Task, attempts: int) -> None:
+        group = task.group
+        if group.step.gang:
+            group.failures += 1
+            failures = group.failures
+        else:
+            task.failures += 1
+            failures = task.failures
+        if failures >= attempts and not group.job.is_ended:
+            self._end(group.job, JobState.FAILED, 0)
+
+    def _keep_checkpoint(self, task: Task, checkpoint: str) -> None:
+        task.checkpoint = checkpoint
+        if task.group.step.gang:
+            for one in task.group.tasks:
+                one.checkpoint = checkpoint
+
+    def _end(self, job: Job, state: JobState, now: float) -> None:
+        job.state = state
+        job.ended_at = now
+        self.mark(job)
+
+    def _is_ready(self, group: Group) -> bool:
+        groups = group.job.groups
+        return all(
+            groups[group.occurrence, before].is_done
+            for before in group.step.after
+        )
+
+    def _open(self, job: Job, occurrence: int) -> None:
+        for index, step in enumerate(job.spec.steps):
+            key = (occurrence, index)
+            if key in job.groups:
+                continue
+            group = Group(job, occurrence, index, step)
+            group.tasks = [
+                Task(
+                    jobspec.TaskName(job.spec.job, occurrence, index, number),
+                    group,
+                )
+                for number in range(step.tasks)
+            ]
+            job.groups[key] = group
+            _restore_group(group, job.restored)
+
+
+def encode_progress(job: Job) -> bytes:
+    """Return a job's record: its state, and the tasks that were ever placed."""
+    tasks = {
+        f'{group.occurrence}.{group.index}.{task.name.index}': (
+            task.state.value,
+            task.run,
+            task.worker,
+            task.life,
+            task.failures,
+            task.checkpoint,
+        )
+        for group in job.groups.values()
+        for task in group.tasks
+        if task.run
+    }
+    gangs = {
+        f'{group.occurrence}.{group.index}': group.failures
+        for group in job.groups.values()
+        if group.failures
+    }
+    plain = {
+        'state': job.state.value,
+        'begun': job.begun,
+        'tasks': tasks,
+        'gangs': gangs,
+    }
+    return orjson.dumps(plain)
+
+
+def recorded_state(progress: bytes) -> JobState:
+    """Return the state that a record tells."""
+    return JobState(orjson.loads(progress)['state'])
+
+
+def _restore(job: Job, plain: dict) -> None:
+    job.state = JobState(plain['state'])
+    job.shown = job.state
+    job.begun = plain['begun']
+    job.restored = plain
+    occurrences = {int(key.partition('.')[0]) for key in plain['tasks']}
+    for occurrence in sorted(occurrences):
+        Book()._open(job, occurrence)
+
+
+def _restore_group(group: Group, plain: abc.Mapping) -> None:
+    if not plain:
+        return
+    prefix = f'{group.occurrence}.{group.index}'
+    group.failures = plain['gangs'].get(prefix, 0)
+    for task in group.tasks:
+        row = plain['tasks'].get(f'{prefix}.{task.name.index}')
+        if row is None:
+            continue
+        state, task.run, task.worker, task.life, task.failures, saved = row
+        task.state = TaskState(state)
+        task.checkpoint = saved
+        task.ordered = True
+        group.placed += task.state is TaskState.PLACED
+        group.done += task.state is TaskState.DONE
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
@@ -0,0 +1,210 @@
+"""Group commit of the leader's records, under the leader's own record.
+
+Every transaction expects the leader record at the revision that the one
+before it left, and writes it anew. So at most one of two competing writers
+gets through, a write that the store carries out late finds its condition
+gone, and a write whose answer was lost is settled by reading one key.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Protocol
+
+import attrs
+import orjson
+
+from jujubebend import errors
+from jujubebend_cluster import clock, logs, ports
+
+LEADER_KEY = 'lead'
+RECORDS_PER_COMMIT = 30  # the store takes 32 entries, the leader's included
+GATHER = 0.012  # seconds that a commit waits for more records to join it
+IDLE_COMMIT = 0.6  # seconds between commits that only show a live leader
+RETRY_FIRST = 0.05  # seconds
+RETRY_MOST = 0.4  # seconds; a store that is back is noticed this soon
+
+
+class DeposedError(errors.FencedError):
+    """Another host leads now: its record took the place of ours."""
+
+
+@attrs.frozen
+class LeaderRecord:
+    """Who leads; ``epoch`` rises with each leader, ``serial`` each commit."""
+
+    host: str
+    address: str
+    epoch: int
+    serial: int
+
+    def encode(self) -> bytes:
+        """Return the record as the store keeps it."""
+        return orjson.dumps(attrs.asdict(self))
+
+
+def parse_leader(body: bytes) -> LeaderRecord:
+    """Read what ``encode`` wrote."""
+    return LeaderRecord(**orjson.loads(body))
+
+
+class Entry(Protocol):
+    """A record to be written: bytes, or None to delete its key."""
+
+    def encode(self) -> bytes | None:
+        """Return the record as it stands now."""
+        ...
+
+    def stored(self) -> None:
+        """Hear that what ``encode`` returned last is in the store."""
+        ...
+
+
+@attrs.frozen
+class Deletion:
+    """Deletes a key."""
+
+    def encode(self) -> bytes | None:
+        """Return nothing to keep."""
+        return None
+
+    def stored(self) -> None:
+        """Need nothing done after."""
+
+
+@attrs.define(eq=False)
+class Committer:
+    """Writes records in batches, one transaction at a time.
+
+    ``put`` names a key and the entry that gives its bytes when the batch is
+    made up; awaiting ``flush`` waits until all puts so far are stored.
+    """
+
+    store: ports.Store
+    record: LeaderRecord
+    revision: int
+    committed_at: float = attrs.field(factory=clock.now)
+    commits: int = 0
+    _puts: dict[str, Entry] = attrs.field(factory=dict)
+    _waiters: list[asyncio.Future] = attrs.field(factory=list)
+    _wake: asyncio.Event = attrs.field(factory=asyncio.Event)
+    deposed: bool = False
+    store_lost: bool = False
+
+    def put(self, key: str, entry: Entry) -> None:
+        """Write a key with the next batch."""
+        self._puts[key] = entry
+        self._wake.set()
+
+    async def flush(self) -> None:
+        """Wait until everything put so far is stored."""
+        if self.deposed:
+            raise DeposedError('deposed')
+        if not self._puts and not self._waiters:
+            return
+        fut = asyncio.get_running_loop().create_future()
+        self._waiters.append(fut)
+        self._wake.set()
+        await fut
+
+    async def run(self) -> None:
+        """Commit until another host leads; raises ``DeposedError``."""
+        try:
+            while True:
+                await self._gather()
+                await self._commit_batch()
+        finally:
+            self.deposed = True
+            for fut in self._waiters:
+                if not fut.done():
+                    fut.set_exception(DeposedError('deposed'))
+                    fut.exception()
+
+    async def _gather(self) -> None:
+        try:
+            async with asyncio.timeout(IDLE_COMMIT):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(GATHER)
+
+    async def _commit_batch(self) -> None:
+        self._wake.clear()
+        puts, self._puts = self._puts, {}
+        waiters, self._waiters = self._waiters, []
+        try:
+            await self._write(list(puts.items()))
+        except BaseException:
+            self._waiters.extend(waiters)
+            raise
+        for fut in waiters:
+            if not fut.done():
+                fut.set_result(None)
+
+    async def _write(self, puts: list) -> None:
+        if not puts:
+            await self._commit([])
+        for at in range(0, len(puts), RECORDS_PER_COMMIT):
+            await self._commit(puts[at : at + RECORDS_PER_COMMIT])
+
+    async def _commit(self, puts: list) -> None:
+        record = attrs.evolve(self.record, serial=self.record.serial + 1)
+        bodies = [(key, entry.encode()) for key, entry in puts]
+        wanted = ports.Transaction(
+            expects={LEADER_KEY: self.revision},
+            puts={
+                LEADER_KEY: record.encode(),
+                **{key: body for key, body in bodies if body is not None},
+            },
+            deletes=tuple(key for key, body in bodies if body is None),
+        )
+        wait = RETRY_FIRST
+        while True:
+            sent = clock.now()
+            if await self._attempt(wanted, record):
+                self.committed_at = sent
+                self.record = record
+                self.commits += 1
+                self._note_store(lost=False)
+                for _, entry in puts:
+                    entry.stored()
+                return
+            await asyncio.sleep(wait * random.uniform(0.5, 1))
+            wait = min(RETRY_MOST, wait * 2)
+
+    async def _attempt(
+        self, wanted: ports.Transaction, record: LeaderRecord
+    ) -> bool:
+        try:
+            self.revision = await self.store.commit(wanted)
+        except errors.ConflictError:
+            return await self._settle(record)
+        except errors.RefusedError as exc:
+            self._note_store(lost=True, why=str(exc))
+            return False
+        except errors.UnreachableError as exc:
+            self._note_store(lost=True, why=str(exc))
+            return await self._settle(record)
+        return True
+
+    async def _settle(self, record: LeaderRecord) -> bool:
+        """Read the leader record back to learn what became of a commit."""
+        try:
+            item = await self.store.get(LEADER_KEY)
+        except (errors.RefusedError, errors.UnreachableError):
+            return False
+        if item is None or item.body is None:
+            raise DeposedError('the leader record is gone')
+        found = parse_leader(item.body)
+        if found.epoch != record.epoch:
+            raise DeposedError(f'{found.host} leads with epoch {found.epoch}')
+        if found.serial != record.serial:
+            return False
+        self.revision = item.revision
+        return True
+
+    def _note_store(self, *, lost: bool, why: str = '') -> None:
+        if lost != self.store_lost:
+            self.store_lost = lost
+            logs.dependency('store', lost=lost, why=why)
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/door.py
@@ -0,0 +1,275 @@
+"""The callers' door: takes jobs, tells their state, cancels them.
+
+A job is accepted once it is in the store. What the store refused has not
+happened and is refused truthfully; what it left unanswered is settled by
+asking again for as long as the caller waits.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import http
+from collections import abc
+from typing import Protocol
+
+import attrs
+
+from jujubebend import errors
+from jujubebend_cluster import (
+    book,
+    clock,
+    elector,
+    jobspec,
+    keys,
+    logs,
+    peers,
+    ports,
+    records,
+    term,
+)
+from jujubebend_http import httpmessage
+
+DEFAULT_WAIT = 3.0  # seconds a caller waits if it does not say
+ANSWER_MARGIN = 0.15  # seconds before the caller gives up
+SETTLE_PAUSE = 0.08  # seconds between two attempts at an unanswered write
+COME_BACK = 1.0  # seconds after which the store is worth another try
+NO_TEXT_YET = 'no configuration has been read yet'
+
+
+class CallerFormat(Protocol):
+    """How callers spell their requests and read their answers."""
+
+    def deadline(self, req: httpmessage.Request, default: float) -> float:
+        """Return how many seconds the caller waits."""
+        ...
+
+    def parse_job(
+        self, job: str, queue: str, body: bytes, now: float
+    ) -> jobspec.JobSpec:
+        """Read a submission."""
+        ...
+
+    def state_reply(self, state: str) -> httpmessage.Reply:
+        """Answer with a job's state."""
+        ...
+
+    def count_reply(self, waiting: int) -> httpmessage.Reply:
+        """Answer with a count of jobs."""
+        ...
+
+    def accepted_reply(self) -> httpmessage.Reply:
+        """Answer that the request is stored."""
+        ...
+
+    def error_reply(
+        self, status: int, found: str, retry_after: float = 0
+    ) -> httpmessage.Reply:
+        """Answer why the request is not served."""
+        ...
+
+
+@attrs.frozen
+class _Call:
+    req: httpmessage.Request
+    queue: jobspec.Queue
+    job: str
+    due: float
+
+    def left(self) -> float:
+        """Return the seconds left to answer in."""
+        return self.due - clock.now()
+
+
+@attrs.define(eq=False)
+class Door:
+    """Answers callers on one host."""
+
+    store: ports.Store
+    network: peers.Peers
+    election: elector.Elector
+    current_text: abc.Callable[[], jobspec.Text | None]
+    current_term: abc.Callable[[], term.Term | None]
+    form: CallerFormat
+    answered: abc.Callable[[str, int, float], None]
+
+    async def handle(self, req: httpmessage.Request) -> httpmessage.Reply:
+        """Answer one request."""
+        began = clock.now()
+        reply = await self._answer(req, began)
+        self.answered(req.method, reply.status, clock.now() - began)
+        return reply
+
+    async def _answer(
+        self, req: httpmessage.Request, began: float
+    ) -> httpmessage.Reply:
+        text = self.current_text()
+        if text is None:
+            return self.form.error_reply(503, NO_TEXT_YET, COME_BACK)
+        hostname = req.headers.get('host', '').partition(':')[0]
+        queue = text.route(hostname, req.path)
+        if queue is None:
+            return self.form.error_reply(404, f'{req.path}: no such queue')
+        wait = self.form.deadline(req, DEFAULT_WAIT) - ANSWER_MARGIN
+        call = _Call(
+            req, queue, req.path.removeprefix(queue.prefix), began + wait
+        )
+        return await self._dispatch(call)
+
+    async def _dispatch(self, call: _Call) -> httpmessage.Reply:
+        match call.req.method, bool(call.job):
+            case 'GET', False:
+                return await self._count(call)
+            case 'GET', True:
+                return await self._state(call)
+            case 'POST', True:
+                return await self._submit(call)
+            case 'DELETE', True:
+                return await self._cancel(call)
+            case _:
+                status = http.HTTPStatus.METHOD_NOT_ALLOWED
+                return self.form.error_reply(status, 'use GET, POST or DELETE')
+
+    async def _submit(self, call: _Call) -> httpmessage.Reply:
+        try:
+            spec = self.form.parse_job(
+                call.job, call.queue.name, call.req.body, clock.unix()
+            )
+        except errors.InvalidInputError as exc:
+            return self.form.error_reply(400, str(exc))
+        body = records.encode_job(spec)
+        key = keys.job(spec.job)
+        outcome = await self._create(call, key, body)
+        logs.decision(
+            'submitted',
+            job=call.job,
+            queue=call.queue.name,
+            outcome=outcome,
+            left=round(call.left(), 3),
+        )
+        return self._write_reply(outcome)
+
+    def _write_reply(self, outcome: str) -> httpmessage.Reply:
+        if outcome == 'stored':
+            return self.form.accepted_reply()
+        if outcome == 'refused':
+            found = 'not accepted: the store takes no writes now'
+            return self.form.error_reply(503, found, COME_BACK)
+        found = 'unknown: the store did not answer in time; ask again'
+        return self.form.error_reply(504, found)
+
+    async def _create(self, call: _Call, key: str, body: bytes) -> str:
+        """Write a key that must not exist: stored, refused or unknown."""
+        wanted = ports.Transaction(expects={key: 0}, puts={key: body})
+        unknown = False
+        while call.left() > 0:
+            try:
+                async with asyncio.timeout(call.left()):
+                    await self.store.commit(wanted)
+                return 'stored'
+            except errors.ConflictError:
+                return 'stored'
+            except (errors.RefusedError, errors.NotSentError) as exc:
+                found = await self._create_elsewhere(call, key, body)
+                if found == 'stored':
+                    return found
+                unknown = unknown or found == 'unknown'
+                if not unknown:
+                    logs.decision('store_refused', key=key, why=str(exc))
+                    return 'refused'
+            except (errors.UnreachableError, TimeoutError):
+                unknown = True
+                if await self._create_elsewhere(call, key, body) == 'stored':
+                    return 'stored'
+            await asyncio.sleep(SETTLE_PAUSE)
+        return 'unknown'
+
+    async def _create_elsewhere(
+        self, call: _Call, key: str, body: bytes
+    ) -> str:
+        """Have the leader write the key: it may reach a store we do not."""
+        leader = self.election.leader
+        if not leader or leader == self.network.address or call.left() <= 0:
+            return 'refused'
+        try:
+            await self.network.store(leader, key, body)
+        except (errors.RefusedError, errors.NotSentError):
+            return 'refused'
+        except errors.UnreachableError:
+            return 'unknown'
+        return 'stored'
+
+    async def _cancel(self, call: _Call) -> httpmessage.Reply:
+        key = keys.job(call.job)
+        outcome = 'refused'
+        while call.left() > 0:
+            try:
+                item = await self.store.get(key)
+                if item is None:
+                    return self.form.error_reply(410, 'no such job')
+                wanted = ports.Transaction(
+                    expects={key: item.revision},
+                    puts={keys.cancel(call.job): b'1'},
+                )
+                await self.store.commit(wanted)
+            except errors.ConflictError:
+                continue
+            except errors.RefusedError:
+                outcome = 'refused'
+            except errors.UnreachableError:
+                outcome = 'unknown'
+            else:
+                outcome = 'stored'
+                break
+            await asyncio.sleep(SETTLE_PAUSE)
+        logs.decision('cancel_asked', job=call.job, outcome=outcome)
+        return self._write_reply(outcome)
+
+    async def _state(self, call: _Call) -> httpmessage.Reply:
+        state = await self._state_by_leader(call.job)
+        if state is None:
+            try:
+                state = await self._state_by_store(call.job)
+            except errors.JujubebendError as exc:
+                found = f'the state cannot be read now: {exc}'
+                return self.form.error_reply(503, found, COME_BACK)
+        if state is None:
+            return self.form.error_reply(410, 'no such job')
+        return self.form.state_reply(state.value)
+
+    async def _state_by_leader(self, job: str) -> book.JobState | None:
+        mine = self.current_term()
+        if mine is not None and mine.speaks():
+            return mine.state_of(job)
+        leader = self.election.leader
+        if not leader or leader == self.network.address:
+            return None
+        try:
+            return await self.network.state(leader, job)
+        except errors.JujubebendError:
+            return None
+
+    async def _state_by_store(self, job: str) -> book.JobState | None:
+        told = await self.store.get(keys.progress(job))
+        if told is not None and told.body is not None:
+            return book.recorded_state(told.body)
+        if await self.store.get(keys.job(job)) is None:
+            return None
+        return book.JobState.QUEUED
+
+    async def _count(self, call: _Call) -> httpmessage.Reply:
+        mine = self.current_term()
+        queue = call.queue.name
+        while call.left() > 0:
+            if mine is not None and mine.speaks():
+                return self.form.count_reply(mine.count_waiting(queue))
+            try:
+                waiting = await self.network.count(
+                    self.election.leader, queue
+                )
+            except (errors.JujubebendError, ValueError):
+                await asyncio.sleep(SETTLE_PAUSE)
+                mine = self.current_term()
+                continue
+            return self.form.count_reply(waiting)
+        found = 'nobody who knows the count answers'
+        return self.form.error_reply(503, found, COME_BACK)
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
@@ -0,0 +1,168 @@
+"""Finds the cell's leader, and takes its place when it is gone.
+
+The leader's record moves with each of its commits. A host that sees it stand
+still for long enough claims it with the next epoch: a compare-and-swap, so
+one claim wins. Taking over from a leader that is alive is safe, since its
+records and its workers refuse it from then on; it only costs time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import abc
+
+import attrs
+
+from jujubebend import errors
+from jujubebend_cluster import clock, committer, logs, peers, ports
+
+TAKEOVER_AFTER = 2.0  # seconds; three idle commits of a leader
+POLL = 0.45  # seconds between reads while nobody is known to lead
+CALM_POLL = 3.0  # seconds between reads while the leader greets us
+HELLO = 0.7  # seconds between greetings
+STAGGER = 0.25  # seconds over which hosts spread their claims
+
+
+@attrs.define(eq=False)
+class Elector:
+    """Follows the leader record; ``lead`` runs one term of this host."""
+
+    store: ports.Store
+    network: peers.Peers
+    lead: abc.Callable[[committer.Committer], abc.Awaitable[None]]
+    record: committer.LeaderRecord | None = None
+    revision: int = 0
+    moved_at: float = 0
+    greeted: bool = False
+    leading: bool = False
+    stopping: bool = False
+    store_read_at: float = 0
+    _gone: bool = False
+
+    @property
+    def leader(self) -> str:
+        """Return the address of the leader, empty if none is known."""
+        return self.record.address if self.record is not None else ''
+
+    async def run(self) -> None:
+        """Follow the record and claim it when it is due, until cancelled."""
+        next_read = 0.0
+        while not self.stopping:
+            now = clock.now()
+            if now >= next_read or not self.greeted:
+                await self._read()
+                next_read = clock.now() + CALM_POLL
+            if self._is_claimable():
+                await asyncio.sleep(random.uniform(0, STAGGER))
+                await self._claim()
+                continue
+            await self._greet()
+            pause = HELLO if self.greeted else POLL
+            await asyncio.sleep(pause * random.uniform(0.8, 1.1))
+
+    async def _read(self) -> None:
+        try:
+            item = await self.store.get(committer.LEADER_KEY)
+        except (errors.RefusedError, errors.UnreachableError):
+            # Without the store nothing can be told of the record's pace.
+            self.moved_at = clock.now()
+            return
+        now = clock.now()
+        self.store_read_at = now
+        revision = item.revision if item is not None else 0
+        if item is None or item.body is None:
+            self.record = None
+        elif revision != self.revision:
+            self._take(committer.parse_leader(item.body))
+        if revision != self.revision or not self.moved_at:
+            self.revision = revision
+            self.moved_at = now
+
+    def _take(self, record: committer.LeaderRecord) -> None:
+        if self.record is None or record.epoch != self.record.epoch:
+            logs.belief(
+                'leader', host=record.host, epoch=record.epoch
+            )
+            self._gone = False
+        self.record = record
+
+    def _is_claimable(self) -> bool:
+        if self.stopping or not self.store_read_at:
+            return False
+        record = self.record
+        if record is None or not record.host:
+            return True
+        if record.address == self.network.address or self._gone:
+            return True
+        return clock.now() - self.moved_at > TAKEOVER_AFTER and (
+            clock.now() - self.store_read_at < POLL * 2
+        )
+
+    async def _claim(self) -> None:
+        epoch = self.record.epoch + 1 if self.record is not None else 1
+        mine = committer.LeaderRecord(
+            self.network.host, self.network.address, epoch, 0
+        )
+        wanted = ports.Transaction(
+            expects={committer.LEADER_KEY: self.revision},
+            puts={committer.LEADER_KEY: mine.encode()},
+        )
+        sent = clock.now()
+        try:
+            revision = await self.store.commit(wanted)
+        except (
+            errors.ConflictError,
+            errors.RefusedError,
+            errors.UnreachableError,
+        ) as exc:
+            # A claim whose answer was lost shows as our own record in the
+            # next read, and is claimed once more with a new epoch.
+            logs.belief('claim_failed', epoch=epoch, why=str(exc))
+            self._gone = False
+            self.moved_at = clock.now()
+            await self._read()
+            return
+        self.record = mine
+        self.revision = revision
+        commits = committer.Committer(self.store, mine, revision, sent)
+        self.leading = True
+        try:
+            await self.lead(commits)
+        finally:
+            self.leading = False
+            self.moved_at = clock.now()
+        if self.stopping:
+            await self._resign(commits)
+
+    async def _resign(self, commits: committer.Committer) -> None:
+        vacant = attrs.evolve(
+            commits.record, host='', serial=commits.record.serial + 1
+        )
+        wanted = ports.Transaction(
+            expects={committer.LEADER_KEY: commits.revision},
+            puts={committer.LEADER_KEY: vacant.encode()},
+        )
+        try:
+            await self.store.commit(wanted)
+        except errors.JujubebendError as exc:
+            logs.belief('resign_failed', why=str(exc))
+
+    async def _greet(self) -> None:
+        record = self.record
+        self.greeted = False
+        if record is None or not record.host:
+            return
+        if record.address == self.network.address:
+            return
+        try:
+            greeting = await self.network.hello(record.address)
+        except errors.RefusedConnectionError:
+            self._gone = True
+            return
+        except errors.JujubebendError:
+            return
+        if greeting.epoch == record.epoch:
+            self.greeted = greeting.speaks
+        elif greeting.epoch < record.epoch:
+            self._gone = True
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
@@ -0,0 +1,166 @@
+"""The workers as the leader knows them: room, leases, trust and speed."""
+
+from __future__ import annotations
+
+import attrs
+
+from jujubebend_cluster import book, jobspec, ports
+
+SLOWEST_CLOCK = 0.98  # a worker's steady clock may be 2% slow
+LEASE_MARGIN = 0.25  # seconds; covers the rounding and the path to a worker
+TRUST_HALF_LIFE = 6.0  # seconds; a bad spell of a worker lasts about as long
+SUSPECT_FAILURES = 1.6  # decayed failures without a success between
+FIRST_SUSPENSION = 4.0  # seconds until a suspected worker is tried again
+LONGEST_SUSPENSION = 16.0  # seconds
+SPEED_WEIGHT = 0.25  # of the newest run in a worker's mean speed
+LARGEST_SUSPENDED_SHARE = 0.34  # of a service's workers at once
+
+
+@attrs.define(eq=False)
+class Worker:
+    """One life of a worker."""
+
+    entry: ports.WorkerEntry
+    listed: bool = True
+    reached: bool = False
+    used_cpu: int = 0
+    used_memory: int = 0
+    used_accelerators: int = 0
+    tasks: dict[jobspec.TaskName, book.Task] = attrs.field(factory=dict)
+    token: int = 0
+    clock: float = 0
+    clock_read: float | None = None
+    clock_sent: float = 0
+    leased_until: float = 0
+    failures: float = 0
+    failures_at: float = 0
+    suspended_until: float = 0
+    suspension: float = FIRST_SUSPENSION
+    speed: float = 1
+    refused_until: float = 0
+    unreached_since: float | None = None
+
+    @property
+    def name(self) -> str:
+        """Return the worker's ID."""
+        return self.entry.worker
+
+    def read_clock(self, clock: float, sent: float, received: float) -> None:
+        """Take the worker's clock as read between two of our moments."""
+        if self.clock_read is None or received >= self.clock_read:
+            self.clock = clock
+            self.clock_sent = sent
+            self.clock_read = received
+
+    def lease_until(self, now: float, seconds: float) -> float | None:
+        """Return the worker's clock time at which a lease would end."""
+        if self.clock_read is None:
+            return None
+        until = self.clock + (now - self.clock_read) + seconds
+        self.leased_until = max(self.leased_until, until)
+        return until
+
+    def is_lapsed(self, now: float) -> bool:
+        """Say whether every lease that we gave has surely ended."""
+        if self.clock_read is None:
+            return False
+        elapsed = (now - self.clock_read) * SLOWEST_CLOCK
+        return self.clock + elapsed > self.leased_until + LEASE_MARGIN
+
+    def takes(self, now: float) -> bool:
+        """Say whether new tasks may be placed here."""
+        return (
+            self.listed
+            and self.reached
+            and self.entry.state is ports.WorkerState.READY
+            and now >= self.refused_until
+            and now >= self.suspended_until
+        )
+
+    def fits(self, demand: jobspec.Demand, *, filler: bool = False) -> bool:
+        """Say whether one more task of that size has room."""
+        return self.count_fitting(demand, 1, filler=filler) > 0
+
+    def count_fitting(
+        self, demand: jobspec.Demand, most: int, *, filler: bool = False
+    ) -> int:
+        """Return how many such tasks have room, ``most`` at the most."""
+        room = self.entry.capacity
+        count = most
+        if demand.cpu_milli and not filler:
+            free = room.cpu_milli - self.used_cpu
+            count = min(count, free // demand.cpu_milli)
+        if demand.memory_mb:
+            free = room.memory_mb - self.used_memory
+            count = min(count, free // demand.memory_mb)
+        if demand.accelerators:
+            free = room.accelerators - self.used_accelerators
+            count = min(count, free // demand.accelerators)
+        return max(0, count)
+
+    def occupy(self, task: book.Task) -> None:
+        """Count a task's demand against the room."""
+        if task.name not in self.tasks:
+            self.tasks[task.name] = task
+            self._count(task, 1)
+
+    def vacate(self, task: book.Task) -> None:
+        """Give back a task's room."""
+        if self.tasks.pop(task.name, None) is not None:
+            self._count(task, -1)
+
+    def succeeded(self) -> None:
+        """Note that a run ended well here."""
+        self.failures = 0
+        self.suspension = FIRST_SUSPENSION
+
+    def failed(self, now: float) -> bool:
+        """Note a failed run; say whether the worker is now suspect."""
+        kept = 0.5 ** ((now - self.failures_at) / TRUST_HALF_LIFE)
+        self.failures = self.failures * kept + 1
+        self.failures_at = now
+        return self.failures >= SUSPECT_FAILURES
+
+    def suspend(self, now: float) -> None:
+        """Place nothing here for a while, longer each time."""
+        self.suspended_until = now + self.suspension
+        self.suspension = min(LONGEST_SUSPENSION, self.suspension * 2)
+        self.failures = 0
+
+    def ran(self, estimate: float, seconds: float) -> None:
+        """Learn the worker's speed from a run that was done."""
+        if estimate > 0 and seconds > 0:
+            seen = min(4.0, max(0.1, estimate / seconds))
+            self.speed += SPEED_WEIGHT * (seen - self.speed)
+
+    def _count(self, task: book.Task, sign: int) -> None:
+        demand = task.group.step.demand
+        if not task.group.step.filler:
+            self.used_cpu += sign * demand.cpu_milli
+        self.used_memory += sign * demand.memory_mb
+        self.used_accelerators += sign * demand.accelerators
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """Every worker, by its ID."""
+
+    workers: dict[str, Worker] = attrs.field(factory=dict)
+
+    def usable(self, service: str, now: float) -> list[Worker]:
+        """Return the workers of a service that take new tasks."""
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.entry.service == service and worker.takes(now)
+        ]
+
+    def may_suspend(self, worker: Worker, now: float) -> bool:
+        """Say whether one more worker of the service may be left out."""
+        peers = [
+            one
+            for one in self.workers.values()
+            if one.entry.service == worker.entry.service and one.listed
+        ]
+        out = sum(now < one.suspended_until for one in peers)
+        return out + 1 <= LARGEST_SUSPENDED_SHARE * len(peers)
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -0,0 +1,266 @@
+"""Chooses what starts next and where.
+
+Groups are taken in order of rank, then of the objective that they are about
+to miss. A gang is placed whole or not at all; while one waits for room, work
+of lower rank is kept off the workers that it needs most.
+"""
+
+from __future__ import annotations
+
+from collections import abc
+
+import attrs
+
+from jujubebend_cluster import book, fleet, jobspec
+
+RESERVATIONS = 2  # gangs at once that may keep lower work off workers
+LATE_FACTOR = 3.0  # past this many objectives a job earns nothing
+
+
+@attrs.frozen
+class Placement:
+    """One task and the worker that it shall run on."""
+
+    task: book.Task
+    worker: fleet.Worker
+    ticket: str = ''
+
+
+@attrs.define(eq=False)
+class Plan:
+    """What one pass decided; ``unadvised`` groups need tickets first."""
+
+    placements: list[Placement] = attrs.field(factory=list)
+    unadvised: list[book.Group] = attrs.field(factory=list)
+    blocked: list[book.Group] = attrs.field(factory=list)
+
+
+@attrs.define(eq=False)
+class _Pass:
+    plan: Plan
+    now: float
+    workers: abc.Sequence[fleet.Worker]
+    reserved: dict[str, int] = attrs.field(factory=dict)
+    reservations: int = 0
+
+
+def urgency(
+    queue: jobspec.Queue, group: book.Group, unix: float
+) -> tuple[int, int, float]:
+    """Return the sort key of a group: the smallest goes first."""
+    spec = group.job.spec
+    objective = queue.objective(spec)
+    begun = spec.accepted_at
+    if spec.occurrences:
+        begun = spec.first_due + group.occurrence * spec.interval
+    worthless = unix > begun + LATE_FACTOR * objective
+    return int(worthless), queue.rank, begun + objective
+
+
+def plan(
+    ordered: abc.Iterable[tuple[jobspec.Queue, book.Group]],
+    cell: fleet.Fleet,
+    now: float,
+) -> Plan:
+    """Place what has room, in the order given."""
+    made = Plan()
+    passes: dict[str, _Pass] = {}
+    for queue, group in ordered:
+        one = passes.get(queue.service)
+        if one is None:
+            one = _Pass(made, now, cell.usable(queue.service, now))
+            passes[queue.service] = one
+        _place_group(one, queue, group)
+    for placement in made.placements:
+        # The caller occupies the room for good once the record is made.
+        placement.worker.vacate(placement.task)
+    return made
+
+
+def _place_group(
+    one: _Pass, queue: jobspec.Queue, group: book.Group
+) -> None:
+    allowed = _allowed(one, queue, group)
+    if queue.advice is not None and _needs_advice(one, group, allowed):
+        one.plan.unadvised.append(group)
+    if queue.advice is not None:
+        tickets = group.tickets
+        allowed = [
+            worker
+            for worker in allowed
+            if tickets.valid(worker.name, one.now) is not None
+        ]
+    if group.step.gang:
+        placed = _place_gang(one, queue, group, allowed)
+    else:
+        placed = _place_each(one, group, allowed)
+    if not placed:
+        one.plan.blocked.append(group)
+
+
+def _allowed(
+    one: _Pass, queue: jobspec.Queue, group: book.Group
+) -> list[fleet.Worker]:
+    step = group.step
+    return [
+        worker
+        for worker in one.workers
+        if not step.required_label
+        or step.required_label in worker.entry.labels
+        if one.reserved.get(worker.name, queue.rank) >= queue.rank
+    ]
+
+
+def _needs_advice(
+    one: _Pass, group: book.Group, allowed: list[fleet.Worker]
+) -> bool:
+    tickets = group.tickets
+    if tickets.asking:
+        return False
+    fresh = any(worker.name not in tickets.asked for worker in allowed)
+    aged = any(
+        worker.name in tickets.good
+        and tickets.valid(worker.name, one.now) is None
+        for worker in allowed
+    )
+    held = any(
+        tickets.valid(worker.name, one.now) is not None for worker in allowed
+    )
+    return (fresh or aged) and not held
+
+
+def _place_each(
+    one: _Pass, group: book.Group, allowed: list[fleet.Worker]
+) -> bool:
+    step = group.step
+    for task in group.waiting_tasks():
+        choices = [
+            worker
+            for worker in allowed
+            if worker.fits(step.demand, filler=step.filler)
+            and _below_limit(group, worker, one)
+        ]
+        if not choices:
+            return False
+        best = max(choices, key=lambda worker: _merit(group, task, worker))
+        _take(one, group, task, best)
+    return True
+
+
+def _merit(
+    group: book.Group, task: book.Task, worker: fleet.Worker
+) -> tuple[float, ...]:
+    step = group.step
+    speed = worker.speed
+    if step.data_rack and worker.entry.rack != step.data_rack:
+        speed /= 2
+    room = worker.entry.capacity
+    fill = worker.used_cpu / max(1, room.cpu_milli)
+    return (
+        -float(worker.name in task.failed_on),
+        speed + 0.3 * fill,
+        fill,
+    )
+
+
+def _place_gang(
+    one: _Pass,
+    queue: jobspec.Queue,
+    group: book.Group,
+    allowed: list[fleet.Worker],
+) -> bool:
+    if group.placed:
+        return False
+    tasks = group.waiting_tasks()
+    chosen = _gang_seats(one, group, allowed, len(tasks))
+    if chosen is None:
+        _reserve(one, queue, group, allowed)
+        return False
+    for task, worker in zip(tasks, chosen, strict=True):
+        _take(one, group, task, worker)
+    return True
+
+
+def _gang_seats(
+    one: _Pass,
+    group: book.Group,
+    allowed: list[fleet.Worker],
+    wanted: int,
+) -> list[fleet.Worker] | None:
+    if not group.step.same_rack:
+        return _seats(one, group, allowed, wanted)
+    racks: dict[str, list[fleet.Worker]] = {}
+    for worker in allowed:
+        racks.setdefault(worker.entry.rack, []).append(worker)
+    for members in racks.values():
+        seats = _seats(one, group, members, wanted)
+        if seats is not None:
+            return seats
+    return None
+
+
+def _seats(
+    one: _Pass,
+    group: book.Group,
+    workers: list[fleet.Worker],
+    wanted: int,
+) -> list[fleet.Worker] | None:
+    step = group.step
+    seats: list[fleet.Worker] = []
+    ranked = sorted(
+        workers,
+        key=lambda worker: (worker.speed, worker.used_cpu),
+        reverse=True,
+    )
+    for worker in ranked:
+        count = worker.count_fitting(step.demand, wanted - len(seats))
+        if step.per_worker_limit:
+            count = min(count, step.per_worker_limit)
+        seats.extend([worker] * count)
+        if len(seats) >= wanted:
+            return seats
+    return None
+
+
+def _reserve(
+    one: _Pass,
+    queue: jobspec.Queue,
+    group: book.Group,
+    allowed: list[fleet.Worker],
+) -> None:
+    """Keep lower ranks off the emptiest workers that would seat the gang."""
+    if one.reservations >= RESERVATIONS:
+        return
+    one.reservations += 1
+    step = group.step
+    seats = 0
+    for worker in sorted(allowed, key=lambda each: each.used_cpu):
+        if worker.name in one.reserved:
+            continue
+        one.reserved[worker.name] = queue.rank
+        room = worker.entry.capacity
+        seats += room.cpu_milli // max(1, step.demand.cpu_milli)
+        if seats >= len(group.tasks):
+            return
+
+
+def _below_limit(
+    group: book.Group, worker: fleet.Worker, one: _Pass
+) -> bool:
+    limit = group.step.per_worker_limit
+    if not limit:
+        return True
+    here = sum(task.worker == worker.name for task in group.placed_tasks())
+    here += sum(
+        placement.worker is worker and placement.task.group is group
+        for placement in one.plan.placements
+    )
+    return here < limit
+
+
+def _take(
+    one: _Pass, group: book.Group, task: book.Task, worker: fleet.Worker
+) -> None:
+    ticket = group.tickets.valid(worker.name, one.now) or ''
+    worker.occupy(task)
+    one.plan.placements.append(Placement(task, worker, ticket))
--- a/packages/jujubebend-ctl/src/jujubebend_ctl/client.py
+++ b/packages/jujubebend-ctl/src/jujubebend_ctl/client.py
@@ -8,7 +8,8 @@
 import attrs
 
 from jujubebend import errors, manifest
-from jujubebend_platform import httpclient, httpmessage, store
+from jujubebend_http import httpclient, httpmessage
+from jujubebend_platform import store
 
 CONFIG_KEY = 'config/text'
 CALL_TIMEOUT = 30.0
--- a/packages/jujubebend-ctl/src/jujubebend_ctl/main.py
+++ b/packages/jujubebend-ctl/src/jujubebend_ctl/main.py
@@ -14,7 +14,8 @@
 
 from jujubebend import errors, manifest
 from jujubebend_ctl import client, submit, trial
-from jujubebend_platform import httpmessage, store
+from jujubebend_http import httpmessage
+from jujubebend_platform import store
 
 WORK_FAILED = 1
 BAD_INPUT = 2
--- a/packages/jujubebend-ctl/src/jujubebend_ctl/submit.py
+++ b/packages/jujubebend-ctl/src/jujubebend_ctl/submit.py
@@ -12,7 +12,7 @@
 
 from jujubebend import errors
 from jujubebend_ctl import client
-from jujubebend_platform import httpclient, httpmessage
+from jujubebend_http import httpclient, httpmessage
 
 AT_ONCE = 32
 POLL_INTERVAL = 0.2
--- a/packages/jujubebend-ctl/src/jujubebend_ctl/trial.py
+++ b/packages/jujubebend-ctl/src/jujubebend_ctl/trial.py
@@ -26,7 +26,8 @@
 from jujubebend_ctl import client, submit
 from jujubebend_entry import app as entry_app
 from jujubebend_entry import settings
-from jujubebend_platform import hostlist, httpclient, store
+from jujubebend_http import httpclient
+from jujubebend_platform import hostlist, store
 from jujubebend_standin import cell
 from jujubebend_standin import ports as free_ports
 
--- a/packages/jujubebend-entry/src/jujubebend_entry/app.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/app.py
@@ -25,7 +25,8 @@
     settler,
     tasks,
 )
-from jujubebend_platform import hostlist, httpserver, store, worker
+from jujubebend_http import httpserver
+from jujubebend_platform import hostlist, store, worker
 from jujubebend_wire import entry_pb2_grpc
 
 REASSIGN_INTERVAL = 1.0
--- a/packages/jujubebend-entry/src/jujubebend_entry/callers.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/callers.py
@@ -18,7 +18,7 @@
     resources,
     structure,
 )
-from jujubebend_platform import httpmessage
+from jujubebend_http import httpmessage
 
 LARGEST_KEY_LENGTH = 200
 LARGEST_JOB_TASKS = 1000
--- a/packages/jujubebend-entry/src/jujubebend_entry/door.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/door.py
@@ -11,7 +11,7 @@
 
 from jujubebend import errors, outcome, resources
 from jujubebend_entry import callers, dispatcher, heldshard, home, metrics
-from jujubebend_platform import httpmessage
+from jujubebend_http import httpmessage
 
 JOB_SECONDS = 10.0
 MILLI = 1000
--- a/packages/jujubebend-entry/src/jujubebend_entry/heldshard.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/heldshard.py
@@ -21,7 +21,7 @@
     shard,
     tasks,
 )
-from jujubebend_platform import httpmessage
+from jujubebend_http import httpmessage
 
 OPEN_RETRY_WAIT = 0.2
 
--- a/packages/jujubebend-entry/src/jujubebend_entry/home.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/home.py
@@ -30,7 +30,8 @@
     shard,
     tasks,
 )
-from jujubebend_platform import httpmessage, store
+from jujubebend_http import httpmessage
+from jujubebend_platform import store
 from jujubebend_wire import entry_pb2
 
 ROUTE_WAIT = 0.2
--- a/packages/jujubebend-entry/src/jujubebend_entry/keyed.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/keyed.py
@@ -10,7 +10,7 @@
 
 from jujubebend import errors, outcome, records, retry
 from jujubebend_entry import answers, attempts, callers, dispatcher, tasks
-from jujubebend_platform import httpmessage
+from jujubebend_http import httpmessage
 
 TASK = 'run'
 MISMATCH = 'the key was used before with another body; choose a new key'
--- a/packages/jujubebend-platform/src/jujubebend_platform/httpclient.py
+++ b/packages/jujubebend-http/src/jujubebend_http/httpclient.py
@@ -10,7 +10,7 @@
 import orjson
 
 from jujubebend import errors, resources
-from jujubebend_platform import httpmessage
+from jujubebend_http import httpmessage
 
 LARGEST_REPLY_BYTES = resources.GIB // 10
 IDLE_LIMIT = 30.0
@@ -57,14 +57,20 @@
         headers: dict[str, str] | None = None,
     ) -> httpmessage.Reply:
         """Send a request and return the whole reply."""
+        conn: _Connection | None = None
         try:
             async with asyncio.timeout(timeout), self._room:
-                return await self._exchange(method, target, body, headers)
+                conn = await self._connect()
+                return await self._exchange(conn, method, target, body, headers)
         except (TimeoutError, OSError, h11.ProtocolError) as exc:
             cause = f'{type(exc).__name__} {exc}'.strip()
-        raise errors.UnreachableError(
-            f'{method} {self.address}{target}: {cause}',
-        )
+            if isinstance(exc, TimeoutError):
+                # A path that went silent takes every connection with it.
+                await self.close()
+        where = f'{method} {self.address}{target}: {cause}'
+        if conn is None:
+            raise errors.NotSentError(where)
+        raise errors.UnreachableError(where)
 
     async def call_json(
         self, method: str, target: str, plain: object, *, timeout: float
@@ -80,12 +86,12 @@
 
     async def _exchange(
         self,
+        conn: _Connection,
         method: str,
         target: str,
         body: bytes,
         headers: dict[str, str] | None,
     ) -> httpmessage.Reply:
-        conn = await self._connect()
         reusable = False
         try:
             await self._send(conn, method, target, body, headers)
@@ -112,6 +118,10 @@
         host, _, port = self.address.rpartition(':')
         try:
             reader, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError as exc:
+            raise errors.RefusedConnectionError(
+                f'{self.address}: {exc}'
+            ) from exc
         except OSError as exc:
             raise errors.NotSentError(f'{self.address}: {exc}') from exc
         return _Connection(reader, writer, h11.Connection(h11.CLIENT))
--- a/packages/jujubebend-platform/src/jujubebend_platform/httpserver.py
+++ b/packages/jujubebend-http/src/jujubebend_http/httpserver.py
@@ -10,7 +10,7 @@
 import h11
 
 from jujubebend import resources
-from jujubebend_platform import httpmessage
+from jujubebend_http import httpmessage
 
 Handler = abc.Callable[[httpmessage.Request], abc.Awaitable[httpmessage.Reply]]
 CLOSE_GRACE = 0.2
@@ -177,6 +177,12 @@
             name.decode(): text.decode('latin-1')
             for name, text in event.headers
         }
+        if 'transfer-encoding' in fields and 'content-length' in fields:
+            # RFC 9112, 6.1: a sign of request smuggling.
+            title = 'both Content-Length and Transfer-Encoding; send one'
+            raise _RefusedError(
+                httpmessage.problem(http.HTTPStatus.BAD_REQUEST, title)
+            )
         if self._conn.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self._writer.write(self._conn.send(go_on))
--- a/packages/jujubebend-platform/src/jujubebend_platform/hostlist.py
+++ b/packages/jujubebend-platform/src/jujubebend_platform/hostlist.py
@@ -9,7 +9,7 @@
 import cattrs
 
 from jujubebend import errors
-from jujubebend_platform import httpclient
+from jujubebend_http import httpclient
 
 CALL_TIMEOUT = 2.0
 ENTRY = 'entry'
--- a/packages/jujubebend-platform/src/jujubebend_platform/store.py
+++ b/packages/jujubebend-platform/src/jujubebend_platform/store.py
@@ -14,7 +14,7 @@
 import attrs
 
 from jujubebend import errors
-from jujubebend_platform import httpclient, httpmessage
+from jujubebend_http import httpclient, httpmessage
 
 CALL_TIMEOUT = 2.0
 CONNECTIONS = 8
--- a/packages/jujubebend-platform/src/jujubebend_platform/worker.py
+++ b/packages/jujubebend-platform/src/jujubebend_platform/worker.py
@@ -9,7 +9,7 @@
 import cattrs
 
 from jujubebend import errors, intent, resources
-from jujubebend_platform import httpclient, httpmessage
+from jujubebend_http import httpclient, httpmessage
 
 CALL_TIMEOUT = 2.0
 CONNECTIONS = 24
--- a/packages/jujubebend-standin/src/jujubebend_standin/__main__.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/__main__.py
@@ -13,7 +13,8 @@
 import typer
 
 from jujubebend import resources
-from jujubebend_platform import hostlist, httpmessage
+from jujubebend_http import httpmessage
+from jujubebend_platform import hostlist
 from jujubebend_standin import cell, relay
 from jujubebend_standin import hostlist as hostlist_fake
 from jujubebend_standin import store as store_fake
--- a/packages/jujubebend-standin/src/jujubebend_standin/cell.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/cell.py
@@ -7,7 +7,8 @@
 import attrs
 
 from jujubebend import resources
-from jujubebend_platform import hostlist, httpserver
+from jujubebend_http import httpserver
+from jujubebend_platform import hostlist
 from jujubebend_standin import faults
 from jujubebend_standin import hostlist as hostlist_fake
 from jujubebend_standin import store as store_fake
--- a/packages/jujubebend-standin/src/jujubebend_standin/faults.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/faults.py
@@ -13,7 +13,7 @@
 import attrs
 
 from jujubebend import structure
-from jujubebend_platform import httpmessage, httpserver
+from jujubebend_http import httpmessage, httpserver
 
 FAULTS_PATH = '/v1/faults'
 
--- a/packages/jujubebend-standin/src/jujubebend_standin/hostlist.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/hostlist.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from jujubebend_platform import hostlist, httpmessage
+from jujubebend_http import httpmessage
+from jujubebend_platform import hostlist
 
 
 @attrs.define(eq=False)
--- a/packages/jujubebend-standin/src/jujubebend_standin/store.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/store.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from jujubebend_platform import httpmessage
+from jujubebend_http import httpmessage
 
 LARGEST_VALUE_BYTES = 1_000_000
 MILLI = 1000
--- a/packages/jujubebend-standin/src/jujubebend_standin/worker.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/worker.py
@@ -20,7 +20,8 @@
 import orjson
 
 from jujubebend import errors, intent, lease, outcome, resources
-from jujubebend_platform import httpmessage, worker
+from jujubebend_http import httpmessage
+from jujubebend_platform import worker
 from jujubebend_standin import faults
 
 MILLI = 1000
--- a/packages/jujubebend/src/jujubebend/errors.py
+++ b/packages/jujubebend/src/jujubebend/errors.py
@@ -50,6 +50,18 @@
     """Nothing left this host: what was asked was certainly not done."""
 
 
+class RefusedConnectionError(NotSentError):
+    """Nothing listens at the address: its process is down."""
+
+
+class ConflictError(JujubebendError):
+    """A conditional write found another state than it expected."""
+
+
+class HistoryGoneError(JujubebendError):
+    """The store dropped the changes asked for: list the keys again."""
+
+
 class RefusedError(JujubebendError):
     """The other side answered that it did not do what was asked."""
 
--- a/properties/test_input.py
+++ b/properties/test_input.py
@@ -12,7 +12,7 @@
 
 from jujubebend import errors, manifest
 from jujubebend_entry import callers, settings
-from jujubebend_platform import httpclient, httpmessage, httpserver
+from jujubebend_http import httpclient, httpmessage, httpserver
 from jujubebend_wire import entry_pb2
 
 scalars = strategies.one_of(
--- a/scenarios/runner/cell.py
+++ b/scenarios/runner/cell.py
@@ -15,7 +15,8 @@
 
 from jujubebend import errors
 from jujubebend_ctl import client, trial
-from jujubebend_platform import hostlist, httpclient, store
+from jujubebend_http import httpclient
+from jujubebend_platform import hostlist, store
 from jujubebend_standin import cell as standin_cell
 from jujubebend_standin import ports as free_ports
 
--- a/scenarios/runner/load.py
+++ b/scenarios/runner/load.py
@@ -10,7 +10,7 @@
 import orjson
 
 from jujubebend import errors
-from jujubebend_platform import httpclient
+from jujubebend_http import httpclient
 from scenarios.runner import cell, language
 
 MILLI = 1000
--- a/tests/entry/test_door.py
+++ b/tests/entry/test_door.py
@@ -11,7 +11,7 @@
 from jujubebend import resources
 from jujubebend_ctl import trial
 from jujubebend_entry import app, heartbeat, settings
-from jujubebend_platform import httpmessage
+from jujubebend_http import httpmessage
 
 GOOD = {
     'service': 'quotes',
--- a/tests/platform/test_httpserver.py
+++ b/tests/http/test_httpserver.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from jujubebend_platform import httpclient, httpmessage, httpserver
+from jujubebend_http import httpclient, httpmessage, httpserver
 
 LIMITS = httpserver.Limits(
     body_bytes=1000, header_bytes=2000, request_seconds=0.2, idle_seconds=5
