Stop renewing the leases of a silent worker; test the leader on virtual time

Cause: each unanswered hold moved the latest moment at which the worker's leases could end, so its tasks were never released.

--- a/Makefile
+++ b/Makefile
@@ -3,15 +3,15 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
-PACKAGES = jujubebend jujubebend-http jujubebend-wire jujubebend-platform jujubebend-standin jujubebend-entry jujubebend-ctl
-SOURCES = packages tests properties benchmarks scenarios
+PACKAGES = jujubebend jujubebend-http jujubebend-wire jujubebend-platform jujubebend-standin jujubebend-entry jujubebend-ctl jujubebend-cluster
+SOURCES = packages platform tests properties benchmarks scenarios
 
 .PHONY: demo test lint format unit sweep bench proto
 
-$(VENV)/ready: requirements.lock $(wildcard packages/*/pyproject.toml)
+$(VENV)/ready: requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
-	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach p,$(PACKAGES),-e packages/$(p))
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
 	touch $@
 
 demo: $(VENV)/ready
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/advicedesk.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/advicedesk.py
@@ -116,4 +116,3 @@
         ]
         worth.sort(key=lambda worker: worker.used_cpu)
         return worth[:MOST_WORKERS]
-
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
@@ -183,9 +183,7 @@
             return
         if self.text is None or text.version > self.text.version:
             self.text = text
-            logs.belief(
-                'text', version=text.version, queues=len(text.queues)
-            )
+            logs.belief('text', version=text.version, queues=len(text.queues))
 
     # What peers ask.
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
@@ -84,7 +84,7 @@
     store: ports.Store
     record: LeaderRecord
     revision: int
-    committed_at: float = attrs.field(factory=clock.now)
+    committed_at: float = attrs.field(factory=lambda: clock.now())
     commits: int = 0
     _puts: dict[str, Entry] = attrs.field(factory=dict)
     _waiters: list[asyncio.Future] = attrs.field(factory=list)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/door.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/door.py
@@ -263,9 +263,7 @@
             if mine is not None and mine.speaks():
                 return self.form.count_reply(mine.count_waiting(queue))
             try:
-                waiting = await self.network.count(
-                    self.election.leader, queue
-                )
+                waiting = await self.network.count(self.election.leader, queue)
             except (errors.JujubebendError, ValueError):
                 await asyncio.sleep(SETTLE_PAUSE)
                 mine = self.current_term()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/jobspec.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/jobspec.py
@@ -80,6 +80,11 @@
     step: int
     index: int
 
+    @property
+    def label(self) -> str:
+        """Return the name within the job, for logs."""
+        return f'{self.occurrence}.{self.step}.{self.index}'
+
 
 @attrs.frozen
 class AdvicePolicy:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/link.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/link.py
@@ -111,7 +111,7 @@
                 logs.decision(
                     'start_unanswered',
                     job=task.name.job,
-                    task=str(task.name),
+                    task=task.name.label,
                     run=run,
                     worker=self.worker.name,
                     why=str(exc),
@@ -144,14 +144,12 @@
     async def drop(self, running: ports.Running) -> None:
         """Stop a run that the book does not know."""
         try:
-            await self.calls.stop(
-                running.task, running.run, self.worker.token
-            )
+            await self.calls.stop(running.task, running.run, self.worker.token)
         except errors.UnreachableError as exc:
             logs.decision(
                 'stop_unanswered',
                 job=running.task.job,
-                task=str(running.task),
+                task=running.task.label,
                 run=running.run,
                 worker=self.worker.name,
                 why=str(exc),
@@ -160,15 +158,17 @@
     async def _hold(self) -> None:
         worker = self.worker
         sent = clock.now()
-        until = worker.lease_until(sent, self.lease)
+        until = None
+        if worker.unreached_since is None:
+            until = worker.lease_until(sent, self.lease)
+        # A silent worker may still hear us: without an end to its leases,
+        # what it runs could never be started elsewhere.
         # The first look brings the clock, and a stored end must be
         # acknowledged before the worker would wait for another.
         wait = HOLD_WAIT if self._cleared and worker.reached else 0
         self.holds += 1
         try:
-            answer = await self.calls.hold(
-                worker.token, self.seen, until, wait
-            )
+            answer = await self.calls.hold(worker.token, self.seen, until, wait)
         except errors.RefusedConnectionError as exc:
             await self._refused(str(exc))
             return
@@ -187,15 +187,13 @@
         if look.born and look.born != worker.entry.born:
             self._begin_life(look.born, 'it answers as a new life')
         worker.read_clock(look.clock, sent, received)
+        worker.unreached_since = None
         if not worker.reached:
             worker.reached = True
-            worker.unreached_since = None
             logs.belief('worker_reached', worker=worker.name, born=look.born)
         last = max((end.number for end in look.ended), default=self.seen)
         life = worker.entry.born
-        stored = asyncio.ensure_future(
-            self.listener.looked(worker, look, sent)
-        )
+        stored = asyncio.ensure_future(self.listener.looked(worker, look, sent))
         done, _ = await asyncio.wait({stored}, timeout=HOLD_PAUSE)
         self._cleared = bool(done) and stored.result()
         if self._cleared and worker.entry.born == life:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
@@ -65,9 +65,7 @@
     ) -> dict[str, str]:
         """Have a peer ask for advice."""
         plain = {'step': step, 'workers': list(workers), 'wait': wait}
-        answer = await self._call(
-            address, 'advise', plain, CALL_TIMEOUT + wait
-        )
+        answer = await self._call(address, 'advise', plain, CALL_TIMEOUT + wait)
         return answer['good']
 
     async def close(self) -> None:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -77,9 +77,7 @@
     return made
 
 
-def _place_group(
-    one: _Pass, queue: jobspec.Queue, group: book.Group
-) -> None:
+def _place_group(one: _Pass, queue: jobspec.Queue, group: book.Group) -> None:
     allowed = _allowed(one, queue, group)
     if queue.advice is not None and _needs_advice(one, group, allowed):
         one.plan.unadvised.append(group)
@@ -105,8 +103,7 @@
     return [
         worker
         for worker in one.workers
-        if not step.required_label
-        or step.required_label in worker.entry.labels
+        if not step.required_label or step.required_label in worker.entry.labels
         if one.reserved.get(worker.name, queue.rank) >= queue.rank
     ]
 
@@ -244,9 +241,7 @@
             return
 
 
-def _below_limit(
-    group: book.Group, worker: fleet.Worker, one: _Pass
-) -> bool:
+def _below_limit(group: book.Group, worker: fleet.Worker, one: _Pass) -> bool:
     limit = group.step.per_worker_limit
     if not limit:
         return True
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/term.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/term.py
@@ -76,7 +76,7 @@
     cell: fleet.Fleet = attrs.field(factory=fleet.Fleet)
     links: dict[str, link.Link] = attrs.field(factory=dict)
     loaded: bool = False
-    began: float = attrs.field(factory=clock.now)
+    began: float = attrs.field(factory=lambda: clock.now())
     starts: int = 0
     _queues: dict[str, jobspec.Queue] = attrs.field(factory=dict)
     _cancelled_early: set[str] = attrs.field(factory=set)
@@ -244,9 +244,7 @@
             self._add_worker(entry)
         self._wake.set()
 
-    def _renew_worker(
-        self, known: link.Link, entry: ports.WorkerEntry
-    ) -> None:
+    def _renew_worker(self, known: link.Link, entry: ports.WorkerEntry) -> None:
         before = known.worker.entry.state
         known.worker.listed = True
         known.moved(entry)
@@ -302,7 +300,7 @@
         logs.decision(
             'ended',
             job=end.task.job,
-            task=str(end.task),
+            task=end.task.label,
             run=end.run,
             how=end.ending.value,
             worker=worker.name,
@@ -339,9 +337,7 @@
             worker.succeeded()
             whole = not task.checkpoint and not task.group.step.gang
             if whole and task.placed_at:
-                worker.ran(
-                    task.group.step.estimate, now - task.placed_at
-                )
+                worker.ran(task.group.step.estimate, now - task.placed_at)
         elif ending is ports.Ending.FAILED:
             # A task that fails everywhere says nothing of its workers.
             blames = not task.failed_on
@@ -379,11 +375,15 @@
                 self._release(worker, task, 'the worker does not list it')
 
     def _take_stray(self, worker: fleet.Worker, row: ports.Running) -> None:
+        known = self.book.find(row.task)
+        if known is not None and known.state is book.TaskState.DONE:
+            # Another member's end stood for its gang: this one ends too.
+            return
         worker.refused_until = clock.now() + link.HOLD_WAIT
         logs.decision(
             'stray_stopped',
             job=row.task.job,
-            task=str(row.task),
+            task=row.task.label,
             run=row.run,
             worker=worker.name,
         )
@@ -518,7 +518,7 @@
         logs.decision(
             'start',
             job=task.name.job,
-            task=str(task.name),
+            task=task.name.label,
             run=task.run,
             worker=worker.name,
             token=worker.token,
@@ -559,9 +559,10 @@
         logs.decision(
             'stop',
             job=task.name.job,
-            task=str(task.name),
+            task=task.name.label,
             run=task.run,
             worker=task.worker,
+            percent=task.percent,
             why=why,
         )
         made = self.links.get(task.worker)
@@ -576,15 +577,13 @@
         for task in group.placed_tasks():
             self._stop(task, f'its job is {group.job.state.value}')
 
-    def _release(
-        self, worker: fleet.Worker, task: book.Task, why: str
-    ) -> None:
+    def _release(self, worker: fleet.Worker, task: book.Task, why: str) -> None:
         worker.vacate(task)
         self.book.release(task)
         logs.decision(
             'released',
             job=task.name.job,
-            task=str(task.name),
+            task=task.name.label,
             run=task.run,
             worker=worker.name,
             why=why,
@@ -671,9 +670,7 @@
 
     def _end(self, why: str) -> None:
         if not self._ended.done():
-            logs.belief(
-                'deposed', epoch=self.commits.record.epoch, why=why
-            )
+            logs.belief('deposed', epoch=self.commits.record.epoch, why=why)
             self._ended.set_result(None)
 
     def _spawn(self, work: abc.Coroutine) -> None:
--- /dev/null
+++ b/tests/fakecell.py
@@ -0,0 +1,287 @@
+"""A store and workers in memory, with the faults that tests ask for."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from jujubebend import errors
+from jujubebend_cluster import clock, jobspec, ports
+
+LINK = 0.002  # seconds a call takes
+STOP = 0.5  # seconds a stop takes
+SECOND = 1.0
+
+
+@attrs.define(eq=False)
+class Store:
+    """Keys with revisions; ``refuse``, ``mute`` and ``lose`` are faults."""
+
+    data: dict = attrs.field(factory=dict)
+    revision: int = 1
+    history: list = attrs.field(factory=list)
+    forgotten: int = 0
+    refuse: bool = False
+    mute: bool = False
+    lose: int = 0
+    calls: int = 0
+    late: list = attrs.field(factory=list)
+    hold_back: bool = False
+    _moved: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def get(self, key):
+        await self._reach()
+        return self.data.get(key)
+
+    async def scan(self, prefix):
+        await self._reach()
+        found = [one for key, one in self.data.items() if key.startswith(prefix)]
+        return found, self.revision
+
+    async def watch(self, prefix, after, wait):
+        until = clock.now() + wait
+        while True:
+            await self._reach()
+            if after < self.forgotten:
+                raise errors.HistoryGoneError(prefix)
+            news = [
+                one
+                for one in self.history
+                if one.revision > after and one.key.startswith(prefix)
+            ]
+            left = until - clock.now()
+            if news or left <= 0:
+                return news, self.revision
+            try:
+                async with asyncio.timeout(left):
+                    await self._moved.wait()
+            except TimeoutError:
+                continue
+
+    async def commit(self, wanted):
+        if self.hold_back:
+            self.hold_back = False
+            self.late.append(wanted)
+            await asyncio.sleep(SECOND)
+            raise errors.UnreachableError('no answer')
+        await self._reach()
+        self.apply(wanted)
+        if self.lose:
+            self.lose -= 1
+            await asyncio.sleep(SECOND)
+            raise errors.UnreachableError('the answer was lost')
+        return self.revision
+
+    def apply(self, wanted):
+        for key, revision in wanted.expects.items():
+            item = self.data.get(key)
+            if (item.revision if item else 0) != revision:
+                raise errors.ConflictError(key)
+        self.revision += 1
+        for key, body in wanted.puts.items():
+            self._note(ports.Item(key, body, self.revision))
+        for key in wanted.deletes:
+            self._note(ports.Item(key, None, self.revision))
+        self._moved.set()
+        self._moved = asyncio.Event()
+
+    def put(self, key, body):
+        self.apply(ports.Transaction(puts={key: body}))
+
+    def forget_history(self):
+        self.forgotten = self.revision
+        self.history.clear()
+        self._moved.set()
+        self._moved = asyncio.Event()
+
+    def _note(self, item):
+        self.history.append(item)
+        if item.body is None:
+            self.data.pop(item.key, None)
+        else:
+            self.data[item.key] = item
+
+    async def _reach(self):
+        self.calls += 1
+        await asyncio.sleep(LINK)
+        if self.mute:
+            await asyncio.sleep(SECOND)
+            raise errors.UnreachableError('silent')
+        if self.refuse:
+            raise errors.RefusedError('busy')
+
+
+@attrs.define(eq=False)
+class _Run:
+    order: ports.StartOrder
+    ends_at: float
+    begun: float
+
+
+@attrs.define(eq=False)
+class Worker:
+    """One worker; ``seconds`` is how long each of its tasks takes."""
+
+    name: str
+    seconds: float = 1.0
+    cpu_milli: int = 32_000
+    born: int = 1
+    mute: bool = False
+    refuse: bool = False
+    stands_still: bool = False
+    fails: bool = False
+    lose_starts: int = 0
+    late_starts: list = attrs.field(factory=list)
+    no_ticket: bool = False
+    token: int = 0
+    runs: dict = attrs.field(factory=dict)
+    ends: list = attrs.field(factory=list)
+    highest: dict = attrs.field(factory=dict)
+    until: float = 0
+    seen: int = 0
+    started: list = attrs.field(factory=list)
+    clock_began: float = attrs.field(factory=lambda: clock.now())
+    number: int = 0
+
+    def entry(self, state=ports.WorkerState.READY):
+        return ports.WorkerEntry(
+            worker=self.name,
+            born=self.born,
+            service='svc',
+            address=self.name,
+            zone='z',
+            state=state,
+            capacity=jobspec.Demand(self.cpu_milli, 64_000),
+            labels=('a', 'r1'),
+            rack='r1',
+        )
+
+    def clock(self):
+        return clock.now() - self.clock_began
+
+    def crash(self, *, reborn=False):
+        """Lose all state; with ``reborn`` a new life answers at once."""
+        self.runs.clear()
+        self.ends.clear()
+        self.highest.clear()
+        self.token = 0
+        self.seen = 0
+        self.until = 0
+        self.number = 0
+        self.clock_began = clock.now()
+        self.refuse = not reborn
+        self.born += reborn
+
+    async def start(self, order):
+        await self._reach()
+        if self.lose_starts:
+            self.lose_starts -= 1
+            self.late_starts.append(order)
+            await asyncio.sleep(SECOND)
+            raise errors.UnreachableError('no answer')
+        return self.take_start(order)
+
+    def take_start(self, order):
+        """Carry out a start, in time or late."""
+        self._settle()
+        if order.token < self.token:
+            return ports.Verdict.FENCED
+        self.token = order.token
+        if order.until <= self.clock():
+            return ports.Verdict.TOO_LATE
+        held = self.runs.get(order.task)
+        if held is not None and held.order.run == order.run:
+            return ports.Verdict.ACCEPTED
+        if order.run <= self.highest.get(order.task, 0):
+            return ports.Verdict.SUPERSEDED
+        if self.no_ticket:
+            return ports.Verdict.NO_TICKET
+        self.until = max(self.until, order.until)
+        now = clock.now()
+        self.highest[order.task] = order.run
+        self.runs[order.task] = _Run(order, now + self.seconds, now)
+        self.started.append((order.task, order.run))
+        return ports.Verdict.ACCEPTED
+
+    async def stop(self, task, run, token):
+        await self._reach()
+        self._settle()
+        if token < self.token:
+            return ports.Verdict.FENCED
+        self.highest[task] = max(self.highest.get(task, 0), run)
+        held = self.runs.get(task)
+        if held is not None and held.order.run == run:
+            self._end(task, ports.Ending.STOPPED)
+        return ports.Verdict.ACCEPTED
+
+    async def hold(self, token, seen, until, wait):
+        await self._reach()
+        if token < self.token:
+            return ports.Verdict.FENCED
+        self.token = token
+        if until is not None:
+            self.until = max(self.until, min(until, self.clock() + 6))
+        self.seen = max(self.seen, seen)
+        deadline = clock.now() + wait
+        while True:
+            self._settle()
+            self.ends = [end for end in self.ends if end.number > self.seen]
+            if self.ends or clock.now() >= deadline:
+                break
+            await asyncio.sleep(0.01)
+            if self.mute:
+                raise errors.UnreachableError('silent')
+        return self._look()
+
+    async def close(self):
+        """Need nothing done."""
+
+    def _look(self):
+        now = clock.now()
+        running = tuple(
+            ports.Running(
+                task,
+                held.order.run,
+                '',
+                0
+                if self.stands_still
+                else int(100 * (now - held.begun) / self.seconds),
+                1,
+            )
+            for task, held in self.runs.items()
+        )
+        return ports.Look(self.clock(), self.born, running, tuple(self.ends))
+
+    def _settle(self):
+        now = clock.now()
+        if self.clock() > self.until:
+            for task in list(self.runs):
+                self._end(task, ports.Ending.LAPSED)
+        if self.stands_still:
+            return
+        for task, held in list(self.runs.items()):
+            if now >= held.ends_at:
+                how = ports.Ending.FAILED if self.fails else ports.Ending.DONE
+                self._end(task, how)
+
+    def _end(self, task, how):
+        held = self.runs.pop(task)
+        self.number += 1
+        self.ends.append(
+            ports.Ended(self.number, task, held.order.run, how, '')
+        )
+
+    async def _reach(self):
+        await asyncio.sleep(LINK)
+        if self.refuse:
+            raise errors.RefusedConnectionError(self.name)
+        if self.mute:
+            await asyncio.sleep(SECOND)
+            raise errors.UnreachableError('silent')
+
+
+def job(name, *steps, queue='q', **more):
+    """Return a job of steps, one task of one core where none is given."""
+    wanted = steps or (jobspec.Step(1, jobspec.Demand(1000, 100), 1.0),)
+    return jobspec.JobSpec(name, queue, 'text', wanted, clock.unix(), **more)
