--- a/packages/jujubebend-cluster/src/jujubebend_cluster/link.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/link.py
@@ -18,7 +18,6 @@
 START_LIFE = 3.0  # seconds; a start carried out later is refused as late
 START_TRIES = 3  # orders of one start before it is withdrawn
 STOP_PAUSE = 0.2  # seconds between two orders of a stop
-REFUSALS_TO_DEATH = 2  # connections refused in a row: the process is down
 TOKENS_PER_EPOCH = 64  # lives of one worker that one leader tells apart
 
 
@@ -57,7 +56,6 @@
     calls: ports.WorkerCalls = attrs.field(init=False)
     seen: int = 0
     holds: int = 0
-    _refusals: int = 0
     _lives: int = 0
     _cleared: bool = False
 
@@ -169,10 +167,8 @@
         self.holds += 1
         try:
             answer = await self.calls.hold(worker.token, self.seen, until, wait)
-        except errors.RefusedConnectionError as exc:
-            await self._refused(str(exc))
-            return
         except errors.UnreachableError as exc:
+            # A refused connection proves nothing: a cut path may refuse too.
             await self._silent(str(exc))
             return
         if isinstance(answer, ports.Verdict):
@@ -183,7 +179,6 @@
     async def _looked(self, look: ports.Look, sent: float) -> None:
         worker = self.worker
         received = clock.now()
-        self._refusals = 0
         if look.born and look.born != worker.entry.born:
             self._begin_life(look.born, 'it answers as a new life')
         worker.read_clock(look.clock, sent, received)
@@ -199,14 +194,6 @@
         if self._cleared and worker.entry.born == life:
             self.seen = max(self.seen, last)
 
-    async def _refused(self, why: str) -> None:
-        self._refusals += 1
-        self._note_unreached(why)
-        if self._refusals == REFUSALS_TO_DEATH:
-            self.worker.reached = False
-            self.listener.life_ended(self.worker, 'its address refuses')
-        await asyncio.sleep(RETRY_PAUSE * random.uniform(0.5, 1))
-
     async def _silent(self, why: str) -> None:
         worker = self.worker
         now = clock.now()
--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -95,6 +95,23 @@
     celltest.play(scenario, *workers)
 
 
+def test_a_refused_connection_is_no_proof_of_a_dead_worker():
+    async def scenario(cell):
+        await cell.lead()
+        cell.submit(fakecell.job('j', jobspec.Step(1, DEMAND, 30.0)))
+        await celltest.until(lambda: celltest.runs_of(cell, 'j'))
+        await asyncio.sleep(2)
+        cut = cell.workers[celltest.runs_of(cell, 'j')[0][0]]
+        cut.refuse = True
+        await asyncio.sleep(4)
+        assert cut.runs
+        assert len(celltest.runs_of(cell, 'j')) == 1
+        await celltest.until(lambda: len(celltest.runs_of(cell, 'j')) == 2)
+
+    workers = [fakecell.Worker(name, seconds=30.0) for name in ('w1', 'w2')]
+    celltest.play(scenario, *workers)
+
+
 def test_a_takeover_waits_longer_for_a_worker_it_never_reached():
     async def scenario(cell):
         first = await cell.lead()
