--- a/packages/jujubebend-cluster/src/jujubebend_cluster/door.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/door.py
@@ -31,6 +31,7 @@
 
 DEFAULT_WAIT = 3.0  # seconds a caller waits if it does not say
 ANSWER_MARGIN = 0.15  # seconds before the caller gives up
+MARGIN_SHARE = 0.3  # of a wait that is hardly longer than the margin
 SETTLE_PAUSE = 0.08  # seconds between two attempts at an unanswered write
 COME_BACK = 1.0  # seconds after which the store is worth another try
 NO_TEXT_YET = 'no configuration has been read yet'
@@ -109,7 +110,8 @@
         queue = text.route(hostname, req.path)
         if queue is None:
             return self.form.error_reply(404, f'{req.path}: no such queue')
-        wait = self.form.deadline(req, DEFAULT_WAIT) - ANSWER_MARGIN
+        wait = self.form.deadline(req, DEFAULT_WAIT)
+        wait -= min(ANSWER_MARGIN, wait * MARGIN_SHARE)
         call = _Call(
             req, queue, req.path.removeprefix(queue.prefix), began + wait
         )
@@ -181,7 +183,7 @@
                 if await self._create_elsewhere(call, key, body) == 'stored':
                     return 'stored'
             await asyncio.sleep(SETTLE_PAUSE)
-        return 'unknown'
+        return 'unknown' if unknown else 'refused'
 
     async def _create_elsewhere(
         self, call: _Call, key: str, body: bytes
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
@@ -9,7 +9,7 @@
 SLOWEST_CLOCK = 0.98  # a worker's steady clock may be 2% slow
 LEASE_MARGIN = 0.25  # seconds; covers the rounding and the path to a worker
 TRUST_HALF_LIFE = 6.0  # seconds; a bad spell of a worker lasts about as long
-SUSPECT_FAILURES = 1.6  # decayed failures without a success between
+SUSPECT_FAILURES = 2.6  # three failures at once; one in 20 is usual
 FIRST_SUSPENSION = 4.0  # seconds until a suspected worker is tried again
 LONGEST_SUSPENSION = 16.0  # seconds
 SPEED_WEIGHT = 0.25  # of the newest run in a worker's mean speed
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/term.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/term.py
@@ -29,6 +29,7 @@
 PASS_GAP = 0.012  # seconds between two planning passes
 PASS_IDLE = 0.1  # seconds; occurrences and leases come due without an event
 STALL_LIMIT = 3.0  # seconds without progress after which a run stands still
+WHOLE = 100  # percent of a task's declared work
 FORGET_SLACK = 30.0  # seconds an ended job is kept beyond what callers need
 SWEEP_EVERY = 0.5  # seconds between looks at orphans and old jobs
 
@@ -402,7 +403,10 @@
             task.percent = row.percent
             task.moved_at = now
         stalled = now - task.moved_at > STALL_LIMIT
-        if stalled and not task.stopping and not task.group.step.lasting:
+        # The figure is of the declared work: a task that takes longer than
+        # it declared stays at its most, and is no sign of a fault.
+        judged = row.percent < WHOLE and not task.group.step.lasting
+        if stalled and judged and not task.stopping:
             self._suspend(worker, 'its tasks stand still')
             self._stop(task, 'it stands still')
 
--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -234,6 +234,17 @@
     celltest.play(scenario, *workers)
 
 
+def test_a_run_beyond_its_declared_work_is_left_alone():
+    async def scenario(cell):
+        made = await cell.lead()
+        cell.submit(fakecell.job('j'))
+        await celltest.until(lambda: celltest.shown(made, 'j') == 'completed')
+        assert len(celltest.runs_of(cell, 'j')) == 1
+
+    worker = fakecell.Worker('w1', seconds=9.0, shows_whole=True)
+    celltest.play(scenario, worker)
+
+
 def test_nothing_starts_on_a_worker_that_drains():
     async def scenario(cell):
         made = await cell.lead()
