Renew a gang's tickets only once it has room; reserve on advised workers

Cause: a gang whose tickets aged while it waited asked again every 2.5 s at 0.7 s a call, and while it had none it reserved nothing, so lower ranks took the room it waited for. Test: tests/cluster/test_planner.py.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/advicedesk.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/advicedesk.py
@@ -114,5 +114,8 @@
             if not step.required_label
             or step.required_label in worker.entry.labels
         ]
+        roomy = [worker for worker in worth if worker.fits(step.demand)]
+        if tickets.asked and roomy:
+            worth = roomy
         worth.sort(key=lambda worker: worker.used_cpu)
         return worth[:MOST_WORKERS]
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -77,23 +77,42 @@
     return made
 
 
-def _place_group(one: _Pass, queue: jobspec.Queue, group: book.Group) -> None:
+def _place_group(
+    one: _Pass, queue: jobspec.Queue, group: book.Group
+) -> None:
     allowed = _allowed(one, queue, group)
-    if queue.advice is not None and _needs_advice(one, group, allowed):
-        one.plan.unadvised.append(group)
+    ticketed = _ticketed(one, queue, group, allowed)
+    if group.step.gang:
+        placed = _place_gang(one, group, ticketed)
+    else:
+        placed = _place_each(one, group, ticketed)
+    if placed:
+        return
+    one.plan.blocked.append(group)
+    suited = allowed
     if queue.advice is not None:
-        tickets = group.tickets
-        allowed = [
-            worker
-            for worker in allowed
-            if tickets.valid(worker.name, one.now) is not None
+        suited = [
+            worker for worker in allowed if worker.name in group.tickets.good
         ]
+        if _needs_advice(one, group, allowed, suited):
+            one.plan.unadvised.append(group)
     if group.step.gang:
-        placed = _place_gang(one, queue, group, allowed)
-    else:
-        placed = _place_each(one, group, allowed)
-    if not placed:
-        one.plan.blocked.append(group)
+        _reserve(one, queue, group, suited)
+
+
+def _ticketed(
+    one: _Pass,
+    queue: jobspec.Queue,
+    group: book.Group,
+    allowed: list[fleet.Worker],
+) -> list[fleet.Worker]:
+    if queue.advice is None:
+        return allowed
+    return [
+        worker
+        for worker in allowed
+        if group.tickets.valid(worker.name, one.now) is not None
+    ]
 
 
 def _allowed(
@@ -109,21 +128,32 @@
 
 
 def _needs_advice(
-    one: _Pass, group: book.Group, allowed: list[fleet.Worker]
+    one: _Pass,
+    group: book.Group,
+    allowed: list[fleet.Worker],
+    suited: list[fleet.Worker],
 ) -> bool:
+    """Say whether a call for advice could let more of the group start."""
     tickets = group.tickets
     if tickets.asking:
         return False
-    fresh = any(worker.name not in tickets.asked for worker in allowed)
-    aged = any(
-        worker.name in tickets.good
-        and tickets.valid(worker.name, one.now) is None
+    if not tickets.asked:
+        return True
+    fresh = [
+        worker
         for worker in allowed
-    )
-    held = any(
-        tickets.valid(worker.name, one.now) is not None for worker in allowed
-    )
-    return (fresh or aged) and not held
+        if worker.name not in tickets.asked and worker.fits(group.step.demand)
+    ]
+    if not group.step.gang:
+        return bool(fresh) or any(
+            worker.fits(group.step.demand)
+            for worker in suited
+            if tickets.valid(worker.name, one.now) is None
+        )
+    # Tickets of a gang age while it waits for room: they are renewed once
+    # the room is there.
+    wanted = len(group.tasks)
+    return _gang_seats(one, group, suited + fresh, wanted) is not None
 
 
 def _place_each(
@@ -161,17 +191,13 @@
 
 
 def _place_gang(
-    one: _Pass,
-    queue: jobspec.Queue,
-    group: book.Group,
-    allowed: list[fleet.Worker],
+    one: _Pass, group: book.Group, allowed: list[fleet.Worker]
 ) -> bool:
     if group.placed:
-        return False
+        return True
     tasks = group.waiting_tasks()
     chosen = _gang_seats(one, group, allowed, len(tasks))
     if chosen is None:
-        _reserve(one, queue, group, allowed)
         return False
     for task, worker in zip(tasks, chosen, strict=True):
         _take(one, group, task, worker)
--- /dev/null
+++ b/tests/cluster/test_planner.py
@@ -0,0 +1,187 @@
+"""What starts next and where."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from jujubebend_cluster import book, fleet, jobspec, planner
+from tests import fakecell, virtualtime
+
+URGENT = jobspec.Queue('urgent', 'h', '/u/', 'svc', 0, 3, 1.5, 0.25)
+PATIENT = jobspec.Queue('patient', 'h', '/p/', 'svc', 2, 3, 4.0, 3.0)
+ADVISED = attrs.evolve(
+    PATIENT, name='advised', advice=jobspec.AdvicePolicy(0.1, 0.001, 2.0)
+)
+LARGE = jobspec.Demand(16_000, 100)
+
+
+def _cell(count, **more):
+    cell = fleet.Fleet()
+    for number in range(count):
+        entry = fakecell.Worker(f'w{number}').entry()
+        worker = fleet.Worker(attrs.evolve(entry, **more))
+        worker.reached = True
+        cell.workers[worker.name] = worker
+    return cell
+
+
+def _group(name, step, queue=PATIENT):
+    spec = attrs.evolve(fakecell.job(name, step), queue=queue.name)
+    return book.Book().add(spec).groups[0, 0]
+
+
+def _play(check):
+    async def main():
+        check()
+
+    virtualtime.run(main)
+
+
+def _plan(cell, *pairs):
+    return planner.plan(pairs, cell, 0.0)
+
+
+def _occupied(cell, cores):
+    for worker in cell.workers.values():
+        worker.used_cpu = cores
+
+
+def test_a_gang_is_placed_whole_or_not_at_all():
+    def check():
+        cell = _cell(2)
+        gang = _group('g', jobspec.Step(5, LARGE, gang=True))
+        assert not _plan(cell, (PATIENT, gang)).placements
+        gang = _group('g', jobspec.Step(4, LARGE, gang=True))
+        assert len(_plan(cell, (PATIENT, gang)).placements) == 4
+
+    _play(check)
+
+
+def test_single_tasks_take_what_room_there_is():
+    def check():
+        cell = _cell(2)
+        made = _plan(cell, (PATIENT, _group('g', jobspec.Step(5, LARGE))))
+        assert len(made.placements) == 4
+        assert len(made.blocked) == 1
+
+    _play(check)
+
+
+def test_a_plan_leaves_the_workers_as_they_were():
+    def check():
+        cell = _cell(1)
+        _plan(cell, (PATIENT, _group('g', jobspec.Step(2, LARGE))))
+        assert cell.workers['w0'].used_cpu == 0
+
+    _play(check)
+
+
+def test_a_blocked_gang_keeps_lower_ranks_off_its_workers():
+    def check():
+        cell = _cell(2)
+        _occupied(cell, 16_000)
+        gang = _group('g', jobspec.Step(4, LARGE, gang=True), URGENT)
+        small = _group('s', jobspec.Step(2, jobspec.Demand(1_000, 1)))
+        made = _plan(cell, (URGENT, gang), (PATIENT, small))
+        assert not made.placements
+        made = _plan(cell, (PATIENT, small), (URGENT, gang))
+        assert len(made.placements) == 2
+
+    _play(check)
+
+
+def test_urgent_work_may_use_what_a_gang_waits_for():
+    def check():
+        cell = _cell(1)
+        _occupied(cell, 16_000)
+        gang = _group('g', jobspec.Step(2, LARGE, gang=True))
+        small = _group('s', jobspec.Step(1, jobspec.Demand(1_000, 1)), URGENT)
+        made = _plan(cell, (PATIENT, gang), (URGENT, small))
+        assert [one.task.name.job for one in made.placements] == ['s']
+
+    _play(check)
+
+
+def test_a_label_a_limit_and_a_rack_bind():
+    def check():
+        cell = _cell(3)
+        wanted = jobspec.Step(2, LARGE, required_label='gpu')
+        assert not _plan(cell, (PATIENT, _group('g', wanted))).placements
+        wanted = jobspec.Step(6, LARGE, per_worker_limit=1)
+        made = _plan(cell, (PATIENT, _group('g', wanted)))
+        assert len({one.worker.name for one in made.placements}) == 3
+        assert len(made.placements) == 3
+        racked = cell.workers['w2']
+        racked.entry = attrs.evolve(racked.entry, rack='r9')
+        wanted = jobspec.Step(1, LARGE, data_rack='r9')
+        made = _plan(cell, (PATIENT, _group('g', wanted)))
+        assert made.placements[0].worker is racked
+
+    _play(check)
+
+
+def test_a_gang_of_one_rack_never_crosses_racks():
+    def check():
+        cell = _cell(2)
+        other = cell.workers['w1']
+        other.entry = attrs.evolve(other.entry, rack='r2')
+        gang = jobspec.Step(3, LARGE, gang=True, same_rack=True)
+        assert not _plan(cell, (PATIENT, _group('g', gang))).placements
+
+    _play(check)
+
+
+def test_nothing_starts_without_a_ticket_that_holds():
+    def check():
+        cell = _cell(2)
+        group = _group('g', jobspec.Step(1, LARGE), ADVISED)
+        made = _plan(cell, (ADVISED, group))
+        assert made.unadvised == [group]
+        assert not made.placements
+        group.tickets.asked.update(cell.workers)
+        group.tickets.good['w1'] = ('t', 5.0)
+        made = _plan(cell, (ADVISED, group))
+        assert [one.ticket for one in made.placements] == ['t']
+        group.tickets.good['w1'] = ('t', -1.0)
+        made = _plan(cell, (ADVISED, group))
+        assert made.unadvised == [group]
+
+    _play(check)
+
+
+def test_an_advised_gang_asks_again_only_once_it_has_room():
+    def check():
+        cell = _cell(2)
+        step = jobspec.Step(4, LARGE, gang=True)
+        group = _group('g', step, ADVISED)
+        group.tickets.asked.update(cell.workers)
+        group.tickets.good.update(dict.fromkeys(cell.workers, ('t', -1.0)))
+        _occupied(cell, 16_000)
+        assert not _plan(cell, (ADVISED, group)).unadvised
+        _occupied(cell, 0)
+        assert _plan(cell, (ADVISED, group)).unadvised == [group]
+
+    _play(check)
+
+
+@pytest.mark.parametrize(
+    ('first', 'second'),
+    [
+        ((URGENT, 100.0), (PATIENT, 90.0)),
+        ((PATIENT, 90.0), (PATIENT, 100.0)),
+        ((PATIENT, 100.0), (URGENT, -1_000.0)),
+    ],
+)
+def test_rank_then_objective_then_what_is_worthless(first, second):
+    def check():
+        keys = []
+        for queue, accepted in (first, second):
+            group = _group('g', jobspec.Step(1, LARGE, 1.0), queue)
+            group.job.spec = attrs.evolve(
+                group.job.spec, accepted_at=accepted
+            )
+            keys.append(planner.urgency(queue, group, 100.0))
+        assert keys[0] < keys[1]
+
+    _play(check)
