--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -77,9 +77,7 @@
     return made
 
 
-def _place_group(
-    one: _Pass, queue: jobspec.Queue, group: book.Group
-) -> None:
+def _place_group(one: _Pass, queue: jobspec.Queue, group: book.Group) -> None:
     allowed = _allowed(one, queue, group)
     ticketed = _ticketed(one, queue, group, allowed)
     if group.step.gang:
--- a/tests/cluster/celltest.py
+++ b/tests/cluster/celltest.py
@@ -127,5 +127,3 @@
         for task, run in worker.started
         if task.job == name
     ]
-
-
--- a/tests/cluster/test_planner.py
+++ b/tests/cluster/test_planner.py
@@ -178,9 +178,7 @@
         keys = []
         for queue, accepted in (first, second):
             group = _group('g', jobspec.Step(1, LARGE, 1.0), queue)
-            group.job.spec = attrs.evolve(
-                group.job.spec, accepted_at=accepted
-            )
+            group.job.spec = attrs.evolve(group.job.spec, accepted_at=accepted)
             keys.append(planner.urgency(queue, group, 100.0))
         assert keys[0] < keys[1]
 
--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -66,9 +66,7 @@
         await asyncio.sleep(0.5)
         await cell.kill(first)
         second = await cell.lead(epoch=2)
-        await celltest.until(
-            lambda: celltest.shown(second, 'j') == 'completed'
-        )
+        await celltest.until(lambda: celltest.shown(second, 'j') == 'completed')
         assert len(celltest.runs_of(cell, 'j')) == 2
 
     workers = [fakecell.Worker(name, seconds=4.0) for name in ('w1', 'w2')]
@@ -262,9 +260,7 @@
 def test_a_timed_job_starts_no_occurrence_early():
     async def scenario(cell):
         made = await cell.lead()
-        spec = fakecell.job(
-            'j', occurrences=3, first_due=1_005.0, interval=2.0
-        )
+        spec = fakecell.job('j', occurrences=3, first_due=1_005.0, interval=2.0)
         cell.submit(spec)
         loop = asyncio.get_running_loop()
         await celltest.until(lambda: celltest.runs_of(cell, 'j'))
--- a/tests/fakecell.py
+++ b/tests/fakecell.py
@@ -36,7 +36,9 @@
 
     async def scan(self, prefix):
         await self._reach()
-        found = [one for key, one in self.data.items() if key.startswith(prefix)]
+        found = [
+            one for key, one in self.data.items() if key.startswith(prefix)
+        ]
         return found, self.revision
 
     async def watch(self, prefix, after, wait):
