Have a flush wait for the commit under way; hear a silent leader's word

Ruled out: the takeover's reading of records. Test (failed before): test_a_flush_waits_for_the_commit_under_way. The fake worker's clock no longer depends on the machine's uptime.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
@@ -188,12 +188,14 @@
     # What peers ask.
 
     async def _on_hello(self, plain: dict) -> dict:
-        leads = self.term is not None
         speaks = self.term is not None and self.term.speaks()
-        if leads:
+        if self.term is not None:
             self._take_helper(plain['address'])
-        epoch = self.term.commits.record.epoch if self.term else 0
-        return {'epoch': epoch, 'speaks': speaks}
+        epoch, silence = 0, 0.0
+        if self.term is not None:
+            epoch = self.term.commits.record.epoch
+            silence = clock.now() - self.term.commits.committed_at
+        return {'epoch': epoch, 'speaks': speaks, 'silence': silence}
 
     def _take_helper(self, address: str) -> None:
         now = clock.now()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
@@ -88,6 +88,7 @@
     commits: int = 0
     _puts: dict[str, Entry] = attrs.field(factory=dict)
     _waiters: list[asyncio.Future] = attrs.field(factory=list)
+    _under_way: list[asyncio.Future] = attrs.field(factory=list)
     _wake: asyncio.Event = attrs.field(factory=asyncio.Event)
     deposed: bool = False
     store_lost: bool = False
@@ -101,11 +102,14 @@
         """Wait until everything put so far is stored."""
         if self.deposed:
             raise DeposedError('deposed')
-        if not self._puts and not self._waiters:
+        if not self._puts and not self._under_way:
             return
         fut = asyncio.get_running_loop().create_future()
-        self._waiters.append(fut)
-        self._wake.set()
+        if self._puts:
+            self._waiters.append(fut)
+            self._wake.set()
+        else:
+            self._under_way.append(fut)
         await fut
 
     async def run(self) -> None:
@@ -116,7 +120,7 @@
                 await self._commit_batch()
         finally:
             self.deposed = True
-            for fut in self._waiters:
+            for fut in self._waiters + self._under_way:
                 if not fut.done():
                     fut.set_exception(DeposedError('deposed'))
                     fut.exception()
@@ -132,15 +136,16 @@
     async def _commit_batch(self) -> None:
         self._wake.clear()
         puts, self._puts = self._puts, {}
-        waiters, self._waiters = self._waiters, []
-        try:
-            await self._write(list(puts.items()))
-        except BaseException:
-            self._waiters.extend(waiters)
-            raise
-        for fut in waiters:
+        # A marker keeps the list non-empty: a flush without puts of its own
+        # waits for what is under way.
+        marker = asyncio.get_running_loop().create_future()
+        self._under_way = [marker, *self._waiters]
+        self._waiters = []
+        await self._write(list(puts.items()))
+        for fut in self._under_way:
             if not fut.done():
                 fut.set_result(None)
+        self._under_way = []
 
     async def _write(self, puts: list) -> None:
         if not puts:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
@@ -18,6 +18,7 @@
 from jujubebend_cluster import clock, committer, logs, peers, ports
 
 TAKEOVER_AFTER = 2.0  # seconds; three idle commits of a leader
+SILENT_TAKEOVER = 1.0  # seconds; the leader itself tells of its silence
 POLL = 0.45  # seconds between reads while nobody is known to lead
 CALM_POLL = 3.0  # seconds between reads while the leader greets us
 HELLO = 0.7  # seconds between greetings
@@ -119,6 +120,7 @@
             logs.belief('claim_failed', epoch=epoch, why=str(exc))
             self._gone = False
             self.moved_at = clock.now()
+            await asyncio.sleep(POLL)
             await self._read()
             return
         self.record = mine
@@ -146,6 +148,15 @@
         except errors.JujubebendError as exc:
             logs.belief('resign_failed', why=str(exc))
 
+    def _hear_silence(self, silence: float) -> None:
+        """Take the leader's word that it cannot write to the store.
+
+        A host that reads the store while the leader cannot write to it need
+        not wait as long as for a leader that says nothing.
+        """
+        if silence > SILENT_TAKEOVER:
+            self.moved_at = min(self.moved_at, clock.now() - TAKEOVER_AFTER)
+
     async def _greet(self) -> None:
         record = self.record
         self.greeted = False
@@ -161,6 +172,9 @@
         except errors.JujubebendError:
             return
         if greeting.epoch == record.epoch:
-            self.greeted = greeting.speaks
+            self.greeted = greeting.speaks and (
+                greeting.silence < SILENT_TAKEOVER
+            )
+            self._hear_silence(greeting.silence)
         elif greeting.epoch < record.epoch:
             self._gone = True
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
@@ -19,10 +19,14 @@
 
 @attrs.frozen
 class Greeting:
-    """A peer's answer to a hello: which epoch it leads, if it leads."""
+    """A peer's answer to a hello: which epoch it leads, if it leads.
+
+    ``silence`` is the seconds since its last commit to the store.
+    """
 
     epoch: int
     speaks: bool
+    silence: float = 0
 
 
 @attrs.define(eq=False)
@@ -38,7 +42,9 @@
         plain = await self._call(
             address, 'hello', {'host': self.host, 'address': self.address}
         )
-        return Greeting(plain['epoch'], plain['speaks'])
+        return Greeting(
+            plain['epoch'], plain['speaks'], plain['silence']
+        )
 
     async def state(self, address: str, job: str) -> book.JobState | None:
         """Ask the leader for a job's state; None where it knows no such."""
--- a/tests/cluster/test_committer.py
+++ b/tests/cluster/test_committer.py
@@ -62,6 +62,21 @@
     _play(scenario)
 
 
+def test_a_flush_waits_for_the_commit_under_way():
+    async def scenario(store, made, running):
+        store.refuse = True
+        made.put('k', _Entry(b'x'))
+        await asyncio.sleep(1)
+        waiting = asyncio.create_task(made.flush())
+        await asyncio.sleep(1)
+        assert not waiting.done()
+        store.refuse = False
+        await asyncio.wait_for(waiting, 5)
+        assert store.data['k'].body == b'x'
+
+    _play(scenario)
+
+
 def test_a_large_batch_is_split():
     async def scenario(store, made, running):
         for number in range(committer.RECORDS_PER_COMMIT * 2 + 1):
--- a/tests/fakecell.py
+++ b/tests/fakecell.py
@@ -144,7 +144,7 @@
     until: float = 0
     seen: int = 0
     started: list = attrs.field(factory=list)
-    clock_began: float = attrs.field(factory=lambda: clock.now())
+    clock_began: float = 0
     number: int = 0
 
     def entry(self, state=ports.WorkerState.READY):
