--- a/packages/jujubebend-cluster/src/jujubebend_cluster/__main__.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/__main__.py
@@ -7,7 +7,7 @@
 
 from jujubebend import errors
 from jujubebend_adapter import advice, callers, settings, store, text, workers
-from jujubebend_cluster import app, logs, term
+from jujubebend_cluster import app, cell, logs
 
 USAGE_EXIT = 2
 
@@ -15,7 +15,7 @@
 def build(cfg: settings.Settings) -> app.App:
     """Put a daemon together from its settings."""
     made: list[app.App] = []
-    around = term.Surroundings(
+    around = cell.Surroundings(
         store=store.Store(cfg.store),
         connect=workers.Worker,
         parse_worker=workers.parse_entry,
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
@@ -12,6 +12,7 @@
 from jujubebend import errors
 from jujubebend_cluster import (
     advicedesk,
+    cell,
     clock,
     committer,
     door,
@@ -49,7 +50,7 @@
 
     host: str
     addresses: Addresses
-    around: term.Surroundings
+    around: cell.Surroundings
     advisor: ports.Advisor | None
     form: door.CallerFormat
     text_key: str
@@ -160,7 +161,7 @@
     # Leading.
 
     async def _lead(self, commits: committer.Committer) -> None:
-        self.term = term.Term(self.around, commits, self.desk)
+        self.term = term.begin(self.around, commits, self.desk)
         if self._stopping:
             return
         self.desk.callers.clear()
@@ -193,8 +194,8 @@
             self._take_helper(plain['address'])
         epoch, silence = 0, 0.0
         if self.term is not None:
-            epoch = self.term.commits.record.epoch
-            silence = clock.now() - self.term.commits.committed_at
+            epoch = self.term.cell.commits.record.epoch
+            silence = clock.now() - self.term.cell.commits.committed_at
         return {'epoch': epoch, 'speaks': speaks, 'silence': silence}
 
     def _take_helper(self, address: str) -> None:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
@@ -1,8 +1,8 @@
 """The jobs of the cell and how far each has come.
 
 A job has a group for each step of each occurrence, and a group has tasks.
-Every change that must survive marks its job dirty; the leader writes dirty
-jobs to the store before it acts on them. Nothing here does I/O.
+The leader writes a job's progress to the store before it acts on a change
+that must survive. Nothing here does I/O.
 """
 
 from __future__ import annotations
@@ -147,7 +147,6 @@
 
     jobs: dict[str, Job] = attrs.field(factory=dict)
     live: dict[str, Job] = attrs.field(factory=dict)
-    dirty: dict[str, Job] = attrs.field(factory=dict)
 
     def add(self, spec: jobspec.JobSpec, progress: bytes | None = None) -> Job:
         """Add a job, with the progress that an earlier leader recorded."""
@@ -184,10 +183,6 @@
             return None
         return group.tasks[name.index]
 
-    def mark(self, job: Job) -> None:
-        """Note that the job's record must be written."""
-        self.dirty[job.spec.job] = job
-
     def place(self, task: Task, worker: str, life: int, run: int) -> None:
         """Give a task a new run on a worker."""
         task.state = TaskState.PLACED
@@ -203,7 +198,6 @@
         group.job.begun = True
         if not group.job.is_ended:
             group.job.state = JobState.RUNNING
-        self.mark(group.job)
 
     def release(self, task: Task) -> None:
         """Take a task's run away: it has ended or can never begin."""
@@ -213,7 +207,6 @@
         task.worker = ''
         task.stopping = False
         task.group.placed -= 1
-        self.mark(task.group.job)
 
     def ended(
         self, task: Task, ending: ports.Ending, checkpoint: str, attempts: int
@@ -251,7 +244,6 @@
         """Drop an ended job for good."""
         self.jobs.pop(job.spec.job, None)
         self.live.pop(job.spec.job, None)
-        self.dirty.pop(job.spec.job, None)
 
     def _done(self, task: Task) -> list[Task]:
         group = task.group
@@ -265,7 +257,6 @@
                 released.append(one)
             one.state = TaskState.DONE
             group.done += 1
-        self.mark(group.job)
         return released
 
     def _failed(self, task: Task, attempts: int) -> None:
@@ -288,7 +279,6 @@
     def _end(self, job: Job, state: JobState, now: float) -> None:
         job.state = state
         job.ended_at = now
-        self.mark(job)
 
     def _is_ready(self, group: Group) -> bool:
         groups = group.job.groups
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/cell.py
@@ -0,0 +1,136 @@
+"""What the parts of a leader share: its book, its workers, its commits."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+
+import attrs
+
+from jujubebend_cluster import (
+    advicedesk,
+    book,
+    clock,
+    committer,
+    fleet,
+    jobspec,
+    keys,
+    link,
+    logs,
+    ports,
+)
+
+HOLD_ON = 8.0  # seconds a leader cut off from the store keeps leases alive
+SPEAKS_FOR = 1.5  # seconds since a commit in which a leader answers as one
+
+
+@attrs.define(eq=False)
+class _JobRecord:
+    """A job's progress on its way to the store."""
+
+    job: book.Job
+    state: book.JobState = book.JobState.QUEUED
+
+    def encode(self) -> bytes:
+        self.state = self.job.state
+        return book.encode_progress(self.job)
+
+    def stored(self) -> None:
+        self.job.shown = self.state
+
+
+@attrs.frozen
+class Surroundings:
+    """What a term works with; ``lease`` and ``status_kept`` in seconds."""
+
+    store: ports.Store
+    connect: abc.Callable[[str, str], ports.WorkerCalls]
+    parse_worker: abc.Callable[[str, bytes], ports.WorkerEntry | None]
+    workers_prefix: str
+    current_text: abc.Callable[[], jobspec.Text | None]
+    lease: float
+    status_kept: float
+
+
+@attrs.define(eq=False)
+class Cell:
+    """The state of one term as leader."""
+
+    around: Surroundings
+    commits: committer.Committer
+    desk: advicedesk.AdviceDesk
+    book: book.Book = attrs.field(factory=book.Book)
+    workers: fleet.Fleet = attrs.field(factory=fleet.Fleet)
+    links: dict[str, link.Link] = attrs.field(factory=dict)
+    began: float = attrs.field(factory=lambda: clock.now())
+    wake: asyncio.Event = attrs.field(factory=asyncio.Event)
+    ended: asyncio.Future = attrs.field(init=False)
+    _queues: dict[str, jobspec.Queue] = attrs.field(factory=dict)
+    _tasks: set[asyncio.Task] = attrs.field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the future that ends the term."""
+        self.ended = asyncio.get_running_loop().create_future()
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of this term."""
+        return self.commits.record.epoch
+
+    def is_current(self) -> bool:
+        """Say whether what this leader believes is up to date."""
+        recent = clock.now() - self.commits.committed_at < SPEAKS_FOR
+        return recent and not self.commits.deposed
+
+    def may_order(self) -> bool:
+        """Say whether this leader may still give orders to workers."""
+        held = clock.now() - self.commits.committed_at < HOLD_ON
+        return held and not self.commits.deposed
+
+    def orphaned_until(self) -> float:
+        """Return when leases of former leaders have surely lapsed."""
+        lease = self.around.lease / fleet.SLOWEST_CLOCK
+        return self.began + HOLD_ON + lease + fleet.LEASE_MARGIN
+
+    def save(self, job: book.Job) -> None:
+        """Write the job's progress with the next commit."""
+        self.commits.put(keys.progress(job.spec.job), _JobRecord(job))
+
+    def queue_of(self, job: book.Job) -> jobspec.Queue | None:
+        """Return the job's queue; one that was dropped is remembered."""
+        text = self.around.current_text()
+        queue = text.queue(job.spec.queue) if text is not None else None
+        if queue is None:
+            return self._queues.get(job.spec.queue)
+        self._queues[queue.name] = queue
+        return queue
+
+    def spawn(self, work: abc.Coroutine) -> None:
+        """Run a coroutine until it ends or the term does."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def end(self, why: str) -> None:
+        """End the term."""
+        if not self.ended.done():
+            logs.belief('deposed', epoch=self.epoch, why=why)
+            self.ended.set_result(None)
+
+    async def close(self) -> None:
+        """Cancel all that ``spawn`` began."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _finished(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        exc = task.exception()
+        if isinstance(exc, committer.DeposedError):
+            self.end(str(exc))
+        elif exc is not None:
+            logs.lifecycle('error', what=repr(exc))
+            self.end(f'a part of the leader failed: {exc!r}')
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/measures.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/measures.py
@@ -52,20 +52,20 @@
         )
         if current is None:
             return
-        book = current.book
+        book = current.cell.book
         self._set('jujubebend_live_jobs', 'Jobs not ended.', len(book.live))
         self._set(
-            'jujubebend_starts', 'Starts ordered in this term.', current.starts
+            'jujubebend_starts', 'Starts ordered in this term.', current.orders.starts
         )
         self._set(
             'jujubebend_commits',
             'Commits to the store in this term.',
-            current.commits.commits,
+            current.cell.commits.commits,
         )
         self._set(
             'jujubebend_advice_calls',
             'Calls for advice made by this process.',
-            current.desk.asked,
+            current.cell.desk.asked,
         )
 
     def render(self) -> bytes:
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/orders.py
@@ -0,0 +1,133 @@
+"""Starts and stops of tasks, each start recorded before it is sent."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from jujubebend_cluster import book, cell, clock, fleet, link, logs, planner
+from jujubebend_cluster import ports
+
+
+@attrs.define(eq=False)
+class Orders:
+    """Sends orders to workers and takes their verdicts."""
+
+    cell: cell.Cell
+    starts: int = 0
+
+    async def start_all(self, placements: list[planner.Placement]) -> None:
+        """Start tasks once their placement is stored."""
+        await self.cell.commits.flush()
+        await asyncio.gather(*(self._start(one) for one in placements))
+
+    def stop(self, task: book.Task, why: str) -> None:
+        """Stop a task's run; its end will be listed by its worker."""
+        if task.state is not book.TaskState.PLACED or task.stopping:
+            return
+        task.stopping = True
+        logs.decision(
+            'stop',
+            job=task.name.job,
+            task=task.name.label,
+            run=task.run,
+            worker=task.worker,
+            percent=task.percent,
+            why=why,
+        )
+        made = self.cell.links.get(task.worker)
+        if made is not None and task.ordered:
+            self.cell.spawn(made.stop(task))
+
+    def withdraw(self, job: book.Job) -> None:
+        """Stop all that runs of a job."""
+        for group in job.groups.values():
+            self.withdraw_group(group)
+
+    def withdraw_group(self, group: book.Group) -> None:
+        """Stop all that runs of a group."""
+        for task in group.placed_tasks():
+            self.stop(task, f'its job is {group.job.state.value}')
+
+    def release(self, worker: fleet.Worker, task: book.Task, why: str) -> None:
+        """Take a run away that is surely over or can never begin."""
+        worker.vacate(task)
+        self.cell.book.release(task)
+        logs.decision(
+            'released',
+            job=task.name.job,
+            task=task.name.label,
+            run=task.run,
+            worker=worker.name,
+            why=why,
+        )
+        if task.group.step.gang:
+            self.withdraw_group(task.group)
+        self.cell.save(task.group.job)
+
+    async def _start(self, placement: planner.Placement) -> None:
+        task, worker = placement.task, placement.worker
+        run = task.run
+        if task.state is not book.TaskState.PLACED:
+            return
+        if task.stopping:
+            self.release(worker, task, 'withdrawn before its start')
+            return
+        if not _is_current(task, worker):
+            self.release(worker, task, 'its worker changed before its start')
+            return
+        task.ordered = True
+        self.starts += 1
+        made = self.cell.links[worker.name]
+        verdict = await made.start(task, placement.ticket)
+        if task.run != run or task.state is not book.TaskState.PLACED:
+            return
+        _log_start(task, worker, verdict)
+        self._take_verdict(task, worker, verdict)
+
+    def _take_verdict(
+        self,
+        task: book.Task,
+        worker: fleet.Worker,
+        verdict: ports.Verdict | None,
+    ) -> None:
+        now = clock.now()
+        if verdict is ports.Verdict.ACCEPTED:
+            task.answered_at = now
+            return
+        if verdict is None:
+            self.stop(task, 'its start was not answered')
+            return
+        if verdict is ports.Verdict.FENCED:
+            self.cell.end(f'{worker.name} has seen a later token')
+            return
+        if verdict is ports.Verdict.NO_TICKET:
+            task.group.tickets.good[worker.name] = ('', 0)
+        elif verdict is not ports.Verdict.SUPERSEDED:
+            worker.refused_until = now + link.HOLD_PAUSE
+        # An earlier try of the same start may still arrive: a stop that is
+        # answered keeps it out for good.
+        self.stop(task, f'its start was refused: {verdict.value}')
+
+
+def _is_current(task: book.Task, worker: fleet.Worker) -> bool:
+    ready = worker.entry.state is ports.WorkerState.READY
+    return ready and task.life == worker.entry.born
+
+
+def _log_start(
+    task: book.Task, worker: fleet.Worker, verdict: ports.Verdict | None
+) -> None:
+    age = clock.now() - (worker.clock_read or 0)
+    logs.decision(
+        'start',
+        job=task.name.job,
+        task=task.name.label,
+        run=task.run,
+        worker=worker.name,
+        token=worker.token,
+        report_age=round(age, 3),
+        free_cpu=worker.entry.capacity.cpu_milli - worker.used_cpu,
+        outcome=verdict.value if verdict is not None else 'unknown',
+    )
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
@@ -42,9 +42,7 @@
         plain = await self._call(
             address, 'hello', {'host': self.host, 'address': self.address}
         )
-        return Greeting(
-            plain['epoch'], plain['speaks'], plain['silence']
-        )
+        return Greeting(plain['epoch'], plain['speaks'], plain['silence'])
 
     async def state(self, address: str, job: str) -> book.JobState | None:
         """Ask the leader for a job's state; None where it knows no such."""
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/reports.py
@@ -0,0 +1,185 @@
+"""What workers tell the leader: runs, ends, progress, their own end."""
+
+from __future__ import annotations
+
+import attrs
+
+from jujubebend_cluster import (
+    book,
+    cell,
+    clock,
+    fleet,
+    jobspec,
+    link,
+    logs,
+    orders,
+    ports,
+)
+
+STALL_LIMIT = 3.0  # seconds without progress after which a run stands still
+WHOLE = 100  # percent of a task's declared work
+
+
+@attrs.define(eq=False)
+class Reports:
+    """Brings the book in line with what workers list."""
+
+    cell: cell.Cell
+    orders: orders.Orders
+
+    def may_order(self) -> bool:
+        """Say whether this leader may still give orders to workers."""
+        return self.cell.may_order()
+
+    async def looked(
+        self, worker: fleet.Worker, look: ports.Look, sent: float
+    ) -> bool:
+        """Take what a worker tells; True once all of it is stored."""
+        for end in look.ended:
+            self._take_end(worker, end)
+        self._take_running(worker, look, sent)
+        self.cell.wake.set()
+        await self.cell.commits.flush()
+        return True
+
+    def life_ended(self, worker: fleet.Worker, why: str) -> None:
+        """Release all that ran in a worker's former life."""
+        lost = list(worker.tasks.values())
+        if lost:
+            logs.belief(
+                'worker_lost', worker=worker.name, why=why, tasks=len(lost)
+            )
+        for task in lost:
+            self.orders.release(worker, task, why)
+        self.cell.wake.set()
+
+    def fenced(self, worker: fleet.Worker) -> None:
+        """End the term: a worker has seen a later leader."""
+        self.cell.end(f'{worker.name} has seen a later token')
+
+    def _take_end(self, worker: fleet.Worker, end: ports.Ended) -> None:
+        task = worker.tasks.get(end.task)
+        if task is None or task.run != end.run:
+            return
+        now = clock.now()
+        group = task.group
+        job = group.job
+        logs.decision(
+            'ended',
+            job=end.task.job,
+            task=end.task.label,
+            run=end.run,
+            how=end.ending.value,
+            worker=worker.name,
+            number=end.number,
+            seconds=round(now - task.placed_at, 3),
+        )
+        self._judge(worker, task, end.ending, now)
+        queue = self.cell.queue_of(job)
+        attempts = queue.attempts if queue is not None else 1
+        released = self.cell.book.ended(
+            task, end.ending, end.checkpoint, attempts
+        )
+        for one in released:
+            self._vacate(one, worker)
+        if group.step.gang and not group.is_done:
+            self.orders.withdraw_group(group)
+        self.cell.book.settle(job, now)
+        if job.is_ended:
+            self._end_job(job, now)
+        self.cell.save(job)
+
+    def _end_job(self, job: book.Job, now: float) -> None:
+        if not job.ended_at:
+            job.ended_at = now
+        self.orders.withdraw(job)
+        logs.decision('job_ended', job=job.spec.job, state=job.state.value)
+
+    def _judge(
+        self,
+        worker: fleet.Worker,
+        task: book.Task,
+        ending: ports.Ending,
+        now: float,
+    ) -> None:
+        if ending is ports.Ending.DONE:
+            worker.succeeded()
+            whole = not task.checkpoint and not task.group.step.gang
+            if whole and task.placed_at:
+                worker.ran(task.group.step.estimate, now - task.placed_at)
+        elif ending is ports.Ending.FAILED:
+            # A task that fails everywhere says nothing of its workers.
+            blames = not task.failed_on
+            task.failed_on.add(worker.name)
+            if blames and worker.failed(now):
+                self._suspend(worker, 'it fails what it starts')
+
+    def _suspend(self, worker: fleet.Worker, why: str) -> None:
+        now = clock.now()
+        if now < worker.suspended_until:
+            return
+        if self.cell.workers.may_suspend(worker, now):
+            worker.suspend(now)
+            logs.belief('worker_suspended', worker=worker.name, why=why)
+
+    def _take_running(
+        self, worker: fleet.Worker, look: ports.Look, sent: float
+    ) -> None:
+        listed: set[jobspec.TaskName] = set()
+        now = clock.now()
+        for row in look.running:
+            task = worker.tasks.get(row.task)
+            if task is None or task.run != row.run:
+                self._take_stray(worker, row)
+                continue
+            listed.add(row.task)
+            self._take_progress(worker, task, row, now)
+        listed.update(end.task for end in look.ended)
+        for task in list(worker.tasks.values()):
+            answered = task.answered_at
+            if task.name in listed or answered is None:
+                continue
+            if sent > answered:
+                self.orders.release(worker, task, 'the worker lists it not')
+
+    def _take_stray(self, worker: fleet.Worker, row: ports.Running) -> None:
+        known = self.cell.book.find(row.task)
+        if known is not None and known.state is book.TaskState.DONE:
+            # Another member's end stood for its gang: this one ends too.
+            return
+        worker.refused_until = clock.now() + link.HOLD_WAIT
+        logs.decision(
+            'stray_stopped',
+            job=row.task.job,
+            task=row.task.label,
+            run=row.run,
+            worker=worker.name,
+        )
+        self.cell.spawn(self.cell.links[worker.name].drop(row))
+
+    def _take_progress(
+        self,
+        worker: fleet.Worker,
+        task: book.Task,
+        row: ports.Running,
+        now: float,
+    ) -> None:
+        if row.checkpoint:
+            task.checkpoint = row.checkpoint
+        if row.percent != task.percent:
+            task.percent = row.percent
+            task.moved_at = now
+        stalled = now - task.moved_at > STALL_LIMIT
+        # The figure is of the declared work: a task that takes longer than
+        # it declared stays at its most, and is no sign of a fault.
+        judged = row.percent < WHOLE and not task.group.step.lasting
+        if stalled and judged and not task.stopping:
+            self._suspend(worker, 'its tasks stand still')
+            self.orders.stop(task, 'it stands still')
+
+    def _vacate(self, task: book.Task, reporter: fleet.Worker) -> None:
+        holder = self.cell.workers.workers.get(task.worker, reporter)
+        holder.vacate(task)
+        if holder is not reporter:
+            # Its own list will tell when the room is free.
+            holder.refused_until = clock.now() + link.HOLD_PAUSE
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/roster.py
@@ -0,0 +1,116 @@
+"""The workers that the store lists, each with its link to the leader."""
+
+from __future__ import annotations
+
+import attrs
+
+from jujubebend_cluster import (
+    book,
+    cell,
+    clock,
+    feed,
+    fleet,
+    jobspec,
+    link,
+    logs,
+    orders,
+    ports,
+    reports,
+)
+
+
+@attrs.define(eq=False)
+class Roster:
+    """Follows the workers' entries."""
+
+    cell: cell.Cell
+    orders: orders.Orders
+    reports: reports.Reports
+
+    async def follow(self) -> None:
+        """Follow the entries until cancelled."""
+        around = self.cell.around
+        follower = feed.Feed(around.store, around.workers_prefix, self._take)
+        await follower.run()
+
+    def release_orphans(self, job: book.Job) -> None:
+        """Release the job's runs at workers that no entry names."""
+        for group in job.groups.values():
+            for task in group.placed_tasks():
+                if task.worker not in self.cell.workers.workers:
+                    ghost = fleet.Worker(_ghost(task))
+                    self.orders.release(ghost, task, 'its worker is gone')
+
+    def _take(self, key: str, item: ports.Item | None) -> None:
+        name = key.removeprefix(self.cell.around.workers_prefix)
+        entry = None
+        if item is not None and item.body is not None:
+            entry = self.cell.around.parse_worker(name, item.body)
+        known = self.cell.links.get(name)
+        if entry is None:
+            if known is not None and known.worker.listed:
+                known.worker.listed = False
+                logs.belief('worker_unlisted', worker=name)
+            return
+        if known is None:
+            self._add(entry)
+        else:
+            _renew(known, entry)
+        self.cell.wake.set()
+
+    def _add(self, entry: ports.WorkerEntry) -> None:
+        worker = fleet.Worker(entry)
+        made = link.Link(
+            worker,
+            self.cell.around.connect,
+            self.reports,
+            self.cell.epoch,
+            self.cell.around.lease,
+            self.cell.orphaned_until(),
+        )
+        self.cell.workers.workers[entry.worker] = worker
+        self.cell.links[entry.worker] = made
+        for job in self.cell.book.live.values():
+            self._adopt(job, worker)
+        logs.belief('worker_listed', worker=entry.worker, born=entry.born)
+        self.cell.spawn(made.run())
+
+    def _adopt(self, job: book.Job, worker: fleet.Worker) -> None:
+        for group in job.groups.values():
+            for task in group.placed_tasks():
+                if task.worker != worker.name:
+                    continue
+                if task.life == worker.entry.born:
+                    # Our first look shuts out every older order, so a run
+                    # that it does not list was never and will never be.
+                    task.answered_at = self.cell.began
+                    task.moved_at = clock.now()
+                    worker.occupy(task)
+                else:
+                    self.orders.release(
+                        worker, task, 'its worker began a new life'
+                    )
+
+
+def _renew(known: link.Link, entry: ports.WorkerEntry) -> None:
+    before = known.worker.entry.state
+    known.worker.listed = True
+    known.moved(entry)
+    if before is not entry.state:
+        logs.belief(
+            'worker_state', worker=entry.worker, state=entry.state.value
+        )
+
+
+def _ghost(task: book.Task) -> ports.WorkerEntry:
+    return ports.WorkerEntry(
+        worker=task.worker,
+        born=task.life,
+        service='',
+        address='',
+        zone='',
+        state=ports.WorkerState.DRAINING,
+        capacity=jobspec.Demand(),
+        labels=(),
+        rack='',
+    )
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
@@ -0,0 +1,119 @@
+"""Planning passes: what is ready, what is placed, whose advice is needed."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import attrs
+
+from jujubebend_cluster import (
+    advicedesk,
+    book,
+    cell,
+    clock,
+    fleet,
+    jobspec,
+    orders,
+    planner,
+)
+
+PASS_GAP = 0.012  # seconds between two planning passes
+PASS_IDLE = 0.1  # seconds; occurrences and leases come due without an event
+
+
+@attrs.define(eq=False)
+class Scheduler:
+    """Places what is ready whenever something changed."""
+
+    cell: cell.Cell
+    orders: orders.Orders
+
+    async def run(self) -> None:
+        """Plan until cancelled."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PASS_IDLE):
+                    await self.cell.wake.wait()
+            self.cell.wake.clear()
+            if self.cell.is_current() and not self.cell.commits.store_lost:
+                self._plan()
+            await asyncio.sleep(PASS_GAP)
+
+    def _plan(self) -> None:
+        now = clock.now()
+        ready = self._ready_groups(now, clock.unix())
+        made = planner.plan(ready, self.cell.workers, now)
+        for group in made.unadvised:
+            self._ask_advice(group, now)
+        if made.placements:
+            self._place(made.placements, now)
+
+    def _place(
+        self, placements: list[planner.Placement], now: float
+    ) -> None:
+        runs = _next_runs(placements)
+        for placement in placements:
+            task, worker = placement.task, placement.worker
+            self.cell.book.place(
+                task, worker.name, worker.entry.born, runs[task.name]
+            )
+            task.placed_at = now
+            task.moved_at = now
+            worker.occupy(task)
+            self.cell.save(task.group.job)
+        self.cell.spawn(self.orders.start_all(placements))
+
+    def _ready_groups(
+        self, now: float, unix: float
+    ) -> list[tuple[jobspec.Queue, book.Group]]:
+        ready = []
+        for job in self.cell.book.live.values():
+            queue = self.cell.queue_of(job)
+            if queue is None or job.is_ended:
+                continue
+            self.cell.book.open_due(job, unix, now)
+            for group in job.groups.values():
+                if group.ready_at is not None and group.waiting:
+                    key = planner.urgency(queue, group, unix)
+                    ready.append((key, len(ready), queue, group))
+        ready.sort()
+        return [(queue, group) for _, _, queue, group in ready]
+
+    def _ask_advice(self, group: book.Group, now: float) -> None:
+        queue = self.cell.queue_of(group.job)
+        if queue is None or queue.advice is None or group.tickets.asking:
+            return
+        usable = self.cell.workers.usable(queue.service, now)
+        named = self.cell.desk.candidates(group, usable, now)
+        if not named:
+            return
+        caller = self.cell.desk.choose(queue.advice, len(named), now)
+        if caller is None:
+            return
+        group.tickets.asking = True
+        self.cell.spawn(self._advise(group, queue.advice, named, caller))
+
+    async def _advise(
+        self,
+        group: book.Group,
+        policy: jobspec.AdvicePolicy,
+        named: list[fleet.Worker],
+        caller: advicedesk.Caller,
+    ) -> None:
+        await self.cell.desk.renew(group, policy, named, caller)
+        self.cell.wake.set()
+
+
+def _next_runs(
+    placements: list[planner.Placement],
+) -> dict[jobspec.TaskName, int]:
+    """Return the number of each task's next run, one for a whole gang."""
+    runs: dict[jobspec.TaskName, int] = {}
+    for placement in placements:
+        task = placement.task
+        run = task.run
+        if task.group.step.gang:
+            run = max(one.run for one in task.group.tasks)
+        runs[task.name] = run + 1
+    return runs
--- a/tests/cluster/celltest.py
+++ b/tests/cluster/celltest.py
@@ -6,6 +6,7 @@
 
 from jujubebend_cluster import (
     advicedesk,
+    cell,
     committer,
     jobspec,
     keys,
@@ -44,7 +45,7 @@
         self.store.put(keys.cancel(name), b'1')
 
     def around(self):
-        return term.Surroundings(
+        return cell.Surroundings(
             store=self.store,
             connect=lambda name, address: self.workers[name],
             parse_worker=self._parse,
@@ -69,7 +70,7 @@
                 puts={committer.LEADER_KEY: record.encode()},
             )
         )
-        made = term.Term(
+        made = term.begin(
             self.around(),
             committer.Committer(self.store, record, revision),
             advicedesk.AdviceDesk(),
--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -195,7 +195,7 @@
             for worker in cell.workers.values():
                 used = len(worker.runs) * DEMAND.cpu_milli
                 assert used <= worker.cpu_milli
-        assert not made.book.live
+        assert not made.cell.book.live
 
     celltest.play(scenario)
 
@@ -251,7 +251,7 @@
         await asyncio.sleep(0.5)
         for number in range(4):
             cell.submit(fakecell.job(f'j{number}'))
-        await celltest.until(lambda: not made.book.live and made.book.jobs)
+        await celltest.until(lambda: not made.cell.book.live and made.cell.book.jobs)
         assert not cell.workers['w1'].started
 
     celltest.play(scenario)
