--- a/packages/jujubebend-cluster/src/jujubebend_cluster/__main__.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/__main__.py
@@ -7,20 +7,21 @@
 
 from jujubebend import errors
 from jujubebend_adapter import advice, callers, settings, store, text, workers
-from jujubebend_cluster import app, cell, logs
+from jujubebend_cluster import app, cell, logs, textfeed
 
 USAGE_EXIT = 2
 
 
 def build(cfg: settings.Settings) -> app.App:
     """Put a daemon together from its settings."""
-    made: list[app.App] = []
+    platform_store = store.Store(cfg.store)
+    texts = textfeed.TextFeed(platform_store, text.KEY, text.PREFIX, text.parse)
     around = cell.Surroundings(
-        store=store.Store(cfg.store),
+        store=platform_store,
         connect=workers.Worker,
         parse_worker=workers.parse_entry,
         workers_prefix=text.WORKERS_PREFIX,
-        current_text=lambda: made[0].text,
+        current_text=lambda: texts.text,
         lease=cfg.hold_max,
         status_kept=cfg.status_kept,
     )
@@ -31,20 +32,15 @@
         metrics=f'{cfg.ip}:{cfg.first_free_port + 1}',
         ready_path=callers.READY_PATH,
     )
-    made.append(
-        app.App(
-            host=cfg.host,
-            addresses=addresses,
-            around=around,
-            advisor=advice.Advisor(cfg.advice) if cfg.advice else None,
-            form=callers,
-            text_key=text.KEY,
-            text_prefix=text.PREFIX,
-            parse_text=text.parse,
-            grace=cfg.grace,
-        )
+    return app.App(
+        host=cfg.host,
+        addresses=addresses,
+        around=around,
+        texts=texts,
+        advisor=advice.Advisor(cfg.advice) if cfg.advice else None,
+        form=callers,
+        grace=cfg.grace,
     )
-    return made[0]
 
 
 async def serve(cfg: settings.Settings) -> None:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/advicedesk.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/advicedesk.py
@@ -22,14 +22,17 @@
 RETRY_PAUSE = 0.15  # seconds before a group asks again after a failure
 
 
+Ask = abc.Callable[
+    [str, abc.Sequence[str], float], abc.Awaitable[dict[str, str]]
+]
+
+
 @attrs.define(eq=False)
 class Caller:
     """One host's way to the service; ``busy_until`` is when it is free."""
 
     address: str
-    ask: abc.Callable[
-        [str, abc.Sequence[str], float], abc.Awaitable[dict[str, str]]
-    ]
+    ask: Ask
     busy_until: float = 0
     failed_until: float = 0
 
@@ -67,7 +70,7 @@
         tickets = group.tickets
         sent = clock.now()
         cost = policy.decide + policy.each * len(names)
-        wait = max(0.0, caller.busy_until - sent) + cost + CALL_SLACK
+        wait = max(0, caller.busy_until - sent) + cost + CALL_SLACK
         self.asked += 1
         try:
             good = await caller.ask(group.step_name(), names, wait)
@@ -87,9 +90,8 @@
         until = now + policy.valid - TICKET_MARGIN
         tickets.asked.update(names)
         tickets.asked_at = now
-        for name in names:
-            if name in good:
-                tickets.good[name] = (good[name], until)
+        for name, ticket in good.items():
+            tickets.good[name] = (ticket, until)
         logs.decision(
             'advice',
             job=group.job.spec.job,
@@ -109,10 +111,8 @@
         worth = [
             worker
             for worker in usable
-            if worker.name in tickets.good or worker.name not in tickets.asked
-            if tickets.valid(worker.name, now) is None
-            if not step.required_label
-            or step.required_label in worker.entry.labels
+            if tickets.may_help(worker.name, now)
+            and worker.has_label(step.required_label)
         ]
         roomy = [worker for worker in worth if worker.fits(step.demand)]
         if tickets.asked and roomy:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
@@ -3,34 +3,28 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import http
 import signal
-from collections import abc
 
 import attrs
 
-from jujubebend import errors
 from jujubebend_cluster import (
-    advicedesk,
     cell,
-    clock,
-    committer,
     door,
     elector,
-    feed,
-    jobspec,
+    leading,
     logs,
     measures,
+    peercalls,
     peers,
     ports,
-    term,
+    textfeed,
 )
 from jujubebend_http import httpmessage, httpserver
 
-PEER_SILENCE = 2.5  # seconds after its last hello that a peer may still help
 ROTATION_LAG = 2.6  # seconds until the balancer has noticed a host not ready
 STOP_MARGIN = 0.8  # seconds of the grace period left for closing down
-STORE_STALE = 3.0  # seconds without the store or a leader: not ready
+LOG_FLUSH = 0.2  # seconds between attempts to write held-back lines
 
 
 @attrs.frozen
@@ -46,35 +40,31 @@
 
 @attrs.define(eq=False)
 class App:
-    """Owns everything that runs on one host."""
+    """Owns everything that runs on one host; ``grace`` is in seconds."""
 
     host: str
     addresses: Addresses
     around: cell.Surroundings
+    texts: textfeed.TextFeed
     advisor: ports.Advisor | None
     form: door.CallerFormat
-    text_key: str
-    text_prefix: str
-    parse_text: abc.Callable[[bytes], jobspec.Text]
     grace: float
-    text: jobspec.Text | None = None
-    term: term.Term | None = None
     numbers: measures.Measures = attrs.field(factory=measures.Measures)
-    desk: advicedesk.AdviceDesk = attrs.field(factory=advicedesk.AdviceDesk)
     network: peers.Peers = attrs.field(init=False)
     election: elector.Elector = attrs.field(init=False)
-    text_feed: feed.Feed = attrs.field(init=False)
-    _helpers: dict[str, float] = attrs.field(factory=dict)
+    leading: leading.Leading = attrs.field(init=False)
     _servers: list[httpserver.Server] = attrs.field(factory=list)
     _stop: asyncio.Event = attrs.field(factory=asyncio.Event)
     _stopping: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Put the parts together."""
-        store = self.around.store
-        self.network = peers.Peers(self.host, self.addresses.peer)
-        self.election = elector.Elector(store, self.network, self._lead)
-        self.text_feed = feed.Feed(store, self.text_prefix, self._take_text)
+        peer = self.addresses.peer
+        self.network = peers.Peers(self.host, peer)
+        self.leading = leading.Leading(self.around, peer, self.advisor)
+        self.election = elector.Elector(
+            self.around.store, self.network, self.leading.lead
+        )
 
     async def run(self) -> None:
         """Serve until a signal asks to stop."""
@@ -82,7 +72,7 @@
         await self._listen()
         logs.lifecycle('start', addresses=attrs.asdict(self.addresses))
         tasks = [
-            asyncio.create_task(self.text_feed.run()),
+            asyncio.create_task(self.texts.run()),
             asyncio.create_task(self.election.run()),
             asyncio.create_task(self._flush_logs()),
         ]
@@ -110,18 +100,19 @@
             self.around.store,
             self.network,
             self.election,
-            lambda: self.text,
-            lambda: self.term,
+            self.around.current_text,
+            self.leading.current,
             self.form,
             self.numbers.answered,
         )
-        inner = peers.PeerServer({
-            'hello': self._on_hello,
-            'state': self._on_state,
-            'count': self._on_count,
-            'store': self._on_store,
-            'advise': self._on_advise,
-        })
+        answers = peercalls.PeerCalls(
+            self.around.store,
+            self.network,
+            self.advisor,
+            self.leading.desk,
+            self.leading.current,
+        )
+        inner = peers.PeerServer(answers.handlers())
         await self._serve(self.addresses.peer, inner.handle)
         await self._serve(self.addresses.ready, self._ready)
         await self._serve(self.addresses.metrics, self._metrics)
@@ -137,8 +128,7 @@
         logs.lifecycle('stop')
         self._stopping = True
         self.election.stopping = True
-        if self.term is not None:
-            self.term.resign()
+        self.leading.stop()
         front = self._servers[-1]
         front.begin_stop()
         linger = min(ROTATION_LAG, max(0, self.grace - STOP_MARGIN * 2))
@@ -155,105 +145,21 @@
 
     async def _flush_logs(self) -> None:
         while True:
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(LOG_FLUSH)
             logs.SINK.drain()
 
-    # Leading.
-
-    async def _lead(self, commits: committer.Committer) -> None:
-        self.term = term.begin(self.around, commits, self.desk)
-        if self._stopping:
-            return
-        self.desk.callers.clear()
-        if self.advisor is not None:
-            self.desk.callers[self.addresses.peer] = advicedesk.Caller(
-                self.addresses.peer, self.advisor.advise
-            )
-        try:
-            await self.term.run()
-        finally:
-            self.term = None
-
-    def _take_text(self, key: str, item: ports.Item | None) -> None:
-        if key != self.text_key or item is None or item.body is None:
-            return
-        try:
-            text = self.parse_text(item.body)
-        except (ValueError, KeyError, TypeError) as exc:
-            logs.lifecycle('error', what=f'{key}: {exc!r}')
-            return
-        if self.text is None or text.version > self.text.version:
-            self.text = text
-            logs.belief('text', version=text.version, queues=len(text.queues))
-
-    # What peers ask.
-
-    async def _on_hello(self, plain: dict) -> dict:
-        speaks = self.term is not None and self.term.speaks()
-        if self.term is not None:
-            self._take_helper(plain['address'])
-        epoch, silence = 0, 0.0
-        if self.term is not None:
-            epoch = self.term.cell.commits.record.epoch
-            silence = clock.now() - self.term.cell.commits.committed_at
-        return {'epoch': epoch, 'speaks': speaks, 'silence': silence}
-
-    def _take_helper(self, address: str) -> None:
-        now = clock.now()
-        self._helpers[address] = now
-        if self.advisor is not None and address not in self.desk.callers:
-            self.desk.callers[address] = advicedesk.Caller(
-                address,
-                lambda step, workers, wait: self.network.advise(
-                    address, step, workers, wait
-                ),
-            )
-        for known, seen in list(self._helpers.items()):
-            if now - seen > PEER_SILENCE:
-                del self._helpers[known]
-                self.desk.callers.pop(known, None)
-
-    async def _on_state(self, plain: dict) -> dict:
-        state = self._speaking_term().state_of(plain['job'])
-        return {'state': state.value if state is not None else ''}
-
-    async def _on_count(self, plain: dict) -> dict:
-        return {'waiting': self._speaking_term().count_waiting(plain['queue'])}
-
-    def _speaking_term(self) -> term.Term:
-        if self.term is None or not self.term.speaks():
-            raise errors.RefusedError('this host does not lead')
-        return self.term
-
-    async def _on_store(self, plain: dict) -> dict:
-        wanted = ports.Transaction(
-            expects={plain['key']: 0},
-            puts={plain['key']: plain['body'].encode()},
-        )
-        try:
-            await self.around.store.commit(wanted)
-        except errors.ConflictError:
-            return {'created': False}
-        return {'created': True}
-
-    async def _on_advise(self, plain: dict) -> dict:
-        if self.advisor is None:
-            raise errors.RefusedError('no advice service is set')
-        good = await self.advisor.advise(
-            plain['step'], plain['workers'], plain['wait']
-        )
-        return {'good': good}
-
     # Readiness and metrics.
 
     async def _ready(self, req: httpmessage.Request) -> httpmessage.Reply:
         if req.path != self.addresses.ready_path:
-            return httpmessage.problem(404, 'not here')
-        if self._stopping or self.text is None:
-            return httpmessage.problem(503, 'not ready')
-        return httpmessage.json_reply(200, {})
+            return httpmessage.problem(http.HTTPStatus.NOT_FOUND, 'not here')
+        if self._stopping or self.texts.text is None:
+            return httpmessage.problem(
+                http.HTTPStatus.SERVICE_UNAVAILABLE, 'not ready'
+            )
+        return httpmessage.json_reply(http.HTTPStatus.OK, {})
 
     async def _metrics(self, req: httpmessage.Request) -> httpmessage.Reply:
-        with contextlib.suppress(AttributeError):
-            self.numbers.observe_term(self.term)
-        return httpmessage.Reply(200, self.numbers.render(), 'text/plain')
+        self.numbers.observe_term(self.leading.current())
+        body = self.numbers.render()
+        return httpmessage.Reply(http.HTTPStatus.OK, body, 'text/plain')
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
@@ -78,6 +78,11 @@
     asking: bool = False
     asked_at: float = 0
 
+    def may_help(self, worker: str, now: float) -> bool:
+        """Say whether asking for the worker could bring a ticket."""
+        refused = worker in self.asked and worker not in self.good
+        return not refused and self.valid(worker, now) is None
+
     def valid(self, worker: str, now: float) -> str | None:
         """Return the worker's ticket if it still holds."""
         ticket, until = self.good.get(worker, ('', 0))
@@ -348,6 +353,18 @@
         Book()._open(job, occurrence)
 
 
+def _restore_task(task: Task, row: list) -> None:
+    state, run, worker, *rest = row
+    life, failures, checkpoint = rest
+    task.state = TaskState(state)
+    task.run = run
+    task.worker = worker
+    task.life = life
+    task.failures = failures
+    task.checkpoint = checkpoint
+    task.ordered = True
+
+
 def _restore_group(group: Group, plain: abc.Mapping) -> None:
     if not plain:
         return
@@ -357,9 +374,6 @@
         row = plain['tasks'].get(f'{prefix}.{task.name.index}')
         if row is None:
             continue
-        state, task.run, task.worker, task.life, task.failures, saved = row
-        task.state = TaskState(state)
-        task.checkpoint = saved
-        task.ordered = True
+        _restore_task(task, row)
         group.placed += task.state is TaskState.PLACED
         group.done += task.state is TaskState.DONE
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/cell.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/cell.py
@@ -99,7 +99,7 @@
     def queue_of(self, job: book.Job) -> jobspec.Queue | None:
         """Return the job's queue; one that was dropped is remembered."""
         text = self.around.current_text()
-        queue = text.queue(job.spec.queue) if text is not None else None
+        queue = text.queue(job.spec.queue) if text else None
         if queue is None:
             return self._queues.get(job.spec.queue)
         self._queues[queue.name] = queue
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
@@ -65,9 +65,8 @@
 class Deletion:
     """Deletes a key."""
 
-    def encode(self) -> bytes | None:
+    def encode(self) -> None:
         """Return nothing to keep."""
-        return None
 
     def stored(self) -> None:
         """Need nothing done after."""
@@ -135,7 +134,8 @@
 
     async def _commit_batch(self) -> None:
         self._wake.clear()
-        puts, self._puts = self._puts, {}
+        puts = self._puts
+        self._puts = {}
         # A marker keeps the list non-empty: a flush without puts of its own
         # waits for what is under way.
         marker = asyncio.get_running_loop().create_future()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/door.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/door.py
@@ -1,8 +1,7 @@
 """The callers' door: takes jobs, tells their state, cancels them.
 
-A job is accepted once it is in the store. What the store refused has not
-happened and is refused truthfully; what it left unanswered is settled by
-asking again for as long as the caller waits.
+A job is accepted once it is in the store. Its state is told by the leader,
+or read from the store where no leader answers.
 """
 
 from __future__ import annotations
@@ -16,6 +15,7 @@
 
 from jujubebend import errors
 from jujubebend_cluster import (
+    acceptance,
     book,
     clock,
     elector,
@@ -32,7 +32,6 @@
 DEFAULT_WAIT = 3.0  # seconds a caller waits if it does not say
 ANSWER_MARGIN = 0.15  # seconds before the caller gives up
 MARGIN_SHARE = 0.3  # of a wait that is hardly longer than the margin
-SETTLE_PAUSE = 0.08  # seconds between two attempts at an unanswered write
 COME_BACK = 1.0  # seconds after which the store is worth another try
 NO_TEXT_YET = 'no configuration has been read yet'
 
@@ -75,6 +74,7 @@
     queue: jobspec.Queue
     job: str
     due: float
+    version: int
 
     def left(self) -> float:
         """Return the seconds left to answer in."""
@@ -92,6 +92,13 @@
     current_term: abc.Callable[[], term.Term | None]
     form: CallerFormat
     answered: abc.Callable[[str, int, float], None]
+    acceptance: acceptance.Acceptance = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Accept jobs into the same store."""
+        self.acceptance = acceptance.Acceptance(
+            self.store, self.network, self.election
+        )
 
     async def handle(self, req: httpmessage.Request) -> httpmessage.Reply:
         """Answer one request."""
@@ -105,15 +112,23 @@
     ) -> httpmessage.Reply:
         text = self.current_text()
         if text is None:
-            return self.form.error_reply(503, NO_TEXT_YET, COME_BACK)
+            return self.form.error_reply(
+                http.HTTPStatus.SERVICE_UNAVAILABLE, NO_TEXT_YET, COME_BACK
+            )
         hostname = req.headers.get('host', '').partition(':')[0]
         queue = text.route(hostname, req.path)
         if queue is None:
-            return self.form.error_reply(404, f'{req.path}: no such queue')
+            return self.form.error_reply(
+                http.HTTPStatus.NOT_FOUND, f'{req.path}: no such queue'
+            )
         wait = self.form.deadline(req, DEFAULT_WAIT)
         wait -= min(ANSWER_MARGIN, wait * MARGIN_SHARE)
         call = _Call(
-            req, queue, req.path.removeprefix(queue.prefix), began + wait
+            req=req,
+            queue=queue,
+            job=req.path.removeprefix(queue.prefix),
+            due=began + wait,
+            version=text.version,
         )
         return await self._dispatch(call)
 
@@ -137,95 +152,44 @@
                 call.job, call.queue.name, call.req.body, clock.unix()
             )
         except errors.InvalidInputError as exc:
-            return self.form.error_reply(400, str(exc))
-        body = records.encode_job(spec)
-        key = keys.job(spec.job)
-        outcome = await self._create(call, key, body)
+            return self.form.error_reply(http.HTTPStatus.BAD_REQUEST, str(exc))
+        outcome = await self.acceptance.create(
+            keys.job(spec.job), records.encode_job(spec), call.due
+        )
         logs.decision(
             'submitted',
             job=call.job,
             queue=call.queue.name,
-            outcome=outcome,
+            version=call.version,
+            outcome=outcome.value,
             left=round(call.left(), 3),
         )
         return self._write_reply(outcome)
 
-    def _write_reply(self, outcome: str) -> httpmessage.Reply:
-        if outcome == 'stored':
-            return self.form.accepted_reply()
-        if outcome == 'refused':
-            found = 'not accepted: the store takes no writes now'
-            return self.form.error_reply(503, found, COME_BACK)
-        found = 'unknown: the store did not answer in time; ask again'
-        return self.form.error_reply(504, found)
-
-    async def _create(self, call: _Call, key: str, body: bytes) -> str:
-        """Write a key that must not exist: stored, refused or unknown."""
-        wanted = ports.Transaction(expects={key: 0}, puts={key: body})
-        unknown = False
-        while call.left() > 0:
-            try:
-                async with asyncio.timeout(call.left()):
-                    await self.store.commit(wanted)
-                return 'stored'
-            except errors.ConflictError:
-                return 'stored'
-            except (errors.RefusedError, errors.NotSentError) as exc:
-                found = await self._create_elsewhere(call, key, body)
-                if found == 'stored':
-                    return found
-                unknown = unknown or found == 'unknown'
-                if not unknown:
-                    logs.decision('store_refused', key=key, why=str(exc))
-                    return 'refused'
-            except (errors.UnreachableError, TimeoutError):
-                unknown = True
-                if await self._create_elsewhere(call, key, body) == 'stored':
-                    return 'stored'
-            await asyncio.sleep(SETTLE_PAUSE)
-        return 'unknown' if unknown else 'refused'
-
-    async def _create_elsewhere(
-        self, call: _Call, key: str, body: bytes
-    ) -> str:
-        """Have the leader write the key: it may reach a store we do not."""
-        leader = self.election.leader
-        if not leader or leader == self.network.address or call.left() <= 0:
-            return 'refused'
-        try:
-            await self.network.store(leader, key, body)
-        except (errors.RefusedError, errors.NotSentError):
-            return 'refused'
-        except errors.UnreachableError:
-            return 'unknown'
-        return 'stored'
-
     async def _cancel(self, call: _Call) -> httpmessage.Reply:
-        key = keys.job(call.job)
-        outcome = 'refused'
-        while call.left() > 0:
-            try:
-                item = await self.store.get(key)
-                if item is None:
-                    return self.form.error_reply(410, 'no such job')
-                wanted = ports.Transaction(
-                    expects={key: item.revision},
-                    puts={keys.cancel(call.job): b'1'},
-                )
-                await self.store.commit(wanted)
-            except errors.ConflictError:
-                continue
-            except errors.RefusedError:
-                outcome = 'refused'
-            except errors.UnreachableError:
-                outcome = 'unknown'
-            else:
-                outcome = 'stored'
-                break
-            await asyncio.sleep(SETTLE_PAUSE)
-        logs.decision('cancel_asked', job=call.job, outcome=outcome)
+        outcome = await self.acceptance.cancel(call.job, call.due)
+        logs.decision('cancel_asked', job=call.job, outcome=outcome.value)
         return self._write_reply(outcome)
 
+    def _write_reply(self, outcome: acceptance.Outcome) -> httpmessage.Reply:
+        match outcome:
+            case acceptance.Outcome.STORED:
+                return self.form.accepted_reply()
+            case acceptance.Outcome.NO_SUCH_JOB:
+                return self.form.error_reply(
+                    http.HTTPStatus.GONE, 'no such job'
+                )
+            case acceptance.Outcome.REFUSED:
+                return self.form.error_reply(
+                    http.HTTPStatus.SERVICE_UNAVAILABLE,
+                    'not accepted: the store takes no writes now',
+                    COME_BACK,
+                )
+        return self.form.error_reply(
+            http.HTTPStatus.GATEWAY_TIMEOUT,
+            'unknown: the store did not answer in time; ask again',
+        )
+
     async def _state(self, call: _Call) -> httpmessage.Reply:
         state = await self._state_by_leader(call.job)
         if state is None:
@@ -233,9 +197,11 @@
                 state = await self._state_by_store(call.job)
             except errors.JujubebendError as exc:
                 found = f'the state cannot be read now: {exc}'
-                return self.form.error_reply(503, found, COME_BACK)
+                return self.form.error_reply(
+                    http.HTTPStatus.SERVICE_UNAVAILABLE, found, COME_BACK
+                )
         if state is None:
-            return self.form.error_reply(410, 'no such job')
+            return self.form.error_reply(http.HTTPStatus.GONE, 'no such job')
         return self.form.state_reply(state.value)
 
     async def _state_by_leader(self, job: str) -> book.JobState | None:
@@ -267,9 +233,11 @@
             try:
                 waiting = await self.network.count(self.election.leader, queue)
             except (errors.JujubebendError, ValueError):
-                await asyncio.sleep(SETTLE_PAUSE)
+                await asyncio.sleep(acceptance.SETTLE_PAUSE)
                 mine = self.current_term()
                 continue
             return self.form.count_reply(waiting)
         found = 'nobody who knows the count answers'
-        return self.form.error_reply(503, found, COME_BACK)
+        return self.form.error_reply(
+            http.HTTPStatus.SERVICE_UNAVAILABLE, found, COME_BACK
+        )
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
@@ -22,6 +22,7 @@
 POLL = 0.45  # seconds between reads while nobody is known to lead
 CALM_POLL = 3.0  # seconds between reads while the leader greets us
 HELLO = 0.7  # seconds between greetings
+SPREAD = (0.8, 1.1)  # times a pause, so that hosts do not read in step
 STAGGER = 0.25  # seconds over which hosts spread their claims
 
 
@@ -44,11 +45,11 @@
     @property
     def leader(self) -> str:
         """Return the address of the leader, empty if none is known."""
-        return self.record.address if self.record is not None else ''
+        return self.record.address if self.record else ''
 
     async def run(self) -> None:
         """Follow the record and claim it when it is due, until cancelled."""
-        next_read = 0.0
+        next_read = self.moved_at
         while not self.stopping:
             now = clock.now()
             if now >= next_read or not self.greeted:
@@ -60,7 +61,7 @@
                 continue
             await self._greet()
             pause = HELLO if self.greeted else POLL
-            await asyncio.sleep(pause * random.uniform(0.8, 1.1))
+            await asyncio.sleep(pause * random.uniform(*SPREAD))
 
     async def _read(self) -> None:
         try:
@@ -71,7 +72,7 @@
             return
         now = clock.now()
         self.store_read_at = now
-        revision = item.revision if item is not None else 0
+        revision = item.revision if item else 0
         if item is None or item.body is None:
             self.record = None
         elif revision != self.revision:
@@ -99,7 +100,7 @@
         )
 
     async def _claim(self) -> None:
-        epoch = self.record.epoch + 1 if self.record is not None else 1
+        epoch = self.record.epoch + 1 if self.record else 1
         mine = committer.LeaderRecord(
             self.network.host, self.network.address, epoch, 0
         )
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/feed.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/feed.py
@@ -11,6 +11,7 @@
 from jujubebend import errors
 from jujubebend_cluster import clock, logs, ports
 
+RETRY_FIRST = 0.12  # seconds
 RETRY_MOST = 0.4  # seconds; a store that is back is noticed this soon
 
 
@@ -41,7 +42,7 @@
                 self.revision = 0
             except (errors.RefusedError, errors.UnreachableError) as exc:
                 self._note(healthy=False, why=str(exc))
-                await asyncio.sleep(RETRY_MOST * random.uniform(0.3, 1))
+                await asyncio.sleep(random.uniform(RETRY_FIRST, RETRY_MOST))
 
     async def _follow(self) -> None:
         if not self.revision:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
@@ -13,6 +13,8 @@
 FIRST_SUSPENSION = 4.0  # seconds until a suspected worker is tried again
 LONGEST_SUSPENSION = 16.0  # seconds
 SPEED_WEIGHT = 0.25  # of the newest run in a worker's mean speed
+FASTEST = 4.0  # times the declared pace; bounds what one run can teach
+SLOWEST = 0.1  # times the declared pace
 LARGEST_SUSPENDED_SHARE = 0.34  # of a service's workers at once
 
 
@@ -77,6 +79,10 @@
             and now >= self.suspended_until
         )
 
+    def has_label(self, label: str) -> bool:
+        """Say whether the worker has a label; the empty one is on all."""
+        return not label or label in self.entry.labels
+
     def fits(self, demand: jobspec.Demand, *, filler: bool = False) -> bool:
         """Say whether one more task of that size has room."""
         return self.count_fitting(demand, 1, filler=filler) > 0
@@ -130,7 +136,7 @@
     def ran(self, estimate: float, seconds: float) -> None:
         """Learn the worker's speed from a run that was done."""
         if estimate > 0 and seconds > 0:
-            seen = min(4.0, max(0.1, estimate / seconds))
+            seen = min(FASTEST, max(SLOWEST, estimate / seconds))
             self.speed += SPEED_WEIGHT * (seen - self.speed)
 
     def _count(self, task: book.Task, sign: int) -> None:
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/leading.py
@@ -0,0 +1,44 @@
+"""This host's terms as leader, one after the other."""
+
+from __future__ import annotations
+
+import attrs
+
+from jujubebend_cluster import advicedesk, cell, committer, ports, term
+
+
+@attrs.define(eq=False)
+class Leading:
+    """Runs a term for each election that this host wins."""
+
+    around: cell.Surroundings
+    address: str
+    advisor: ports.Advisor | None
+    desk: advicedesk.AdviceDesk = attrs.field(factory=advicedesk.AdviceDesk)
+    term: term.Term | None = None
+    stopping: bool = False
+
+    def current(self) -> term.Term | None:
+        """Return the term that is running, if any."""
+        return self.term
+
+    async def lead(self, commits: committer.Committer) -> None:
+        """Lead until another host does or this one stops."""
+        if self.stopping:
+            return
+        self.desk.callers.clear()
+        if self.advisor is not None:
+            self.desk.callers[self.address] = advicedesk.Caller(
+                self.address, self.advisor.advise
+            )
+        self.term = term.Term(cell.Cell(self.around, commits, self.desk))
+        try:
+            await self.term.run()
+        finally:
+            self.term = None
+
+    def stop(self) -> None:
+        """End the running term and begin no other."""
+        self.stopping = True
+        if self.term is not None:
+            self.term.resign()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/logs.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/logs.py
@@ -56,7 +56,7 @@
                 'count': self.left_out,
             }
             self.left_out = 0
-            self._write(orjson.dumps(line) + b'\n')
+            self._write(orjson.dumps(line, option=orjson.OPT_APPEND_NEWLINE))
 
     def _write(self, line: bytes) -> None:
         if len(self._backlog) >= LONGEST_BACKLOG:
@@ -96,7 +96,9 @@
     }
     for key in ('task_uuid', 'task_level', 'timestamp'):
         message.pop(key, None)
-    return orjson.dumps(kept | message, default=str) + b'\n'
+    return orjson.dumps(
+        kept | message, default=str, option=orjson.OPT_APPEND_NEWLINE
+    )
 
 
 SINK = Sink()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/measures.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/measures.py
@@ -55,7 +55,9 @@
         book = current.cell.book
         self._set('jujubebend_live_jobs', 'Jobs not ended.', len(book.live))
         self._set(
-            'jujubebend_starts', 'Starts ordered in this term.', current.orders.starts
+            'jujubebend_starts',
+            'Starts ordered in this term.',
+            current.orders.starts,
         )
         self._set(
             'jujubebend_commits',
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/orders.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/orders.py
@@ -6,8 +6,16 @@
 
 import attrs
 
-from jujubebend_cluster import book, cell, clock, fleet, link, logs, planner
-from jujubebend_cluster import ports
+from jujubebend_cluster import (
+    book,
+    cell,
+    clock,
+    fleet,
+    link,
+    logs,
+    planner,
+    ports,
+)
 
 
 @attrs.define(eq=False)
@@ -129,5 +137,5 @@
         token=worker.token,
         report_age=round(age, 3),
         free_cpu=worker.entry.capacity.cpu_milli - worker.used_cpu,
-        outcome=verdict.value if verdict is not None else 'unknown',
+        outcome=verdict.value if verdict else 'unknown',
     )
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/peercalls.py
@@ -0,0 +1,102 @@
+"""What a host does for its peers: tells states, stores jobs, asks advice."""
+
+from __future__ import annotations
+
+from collections import abc
+
+import attrs
+
+from jujubebend import errors
+from jujubebend_cluster import (
+    advicedesk,
+    clock,
+    keys,
+    peers,
+    ports,
+    term,
+)
+
+PEER_SILENCE = 2.5  # seconds after its last hello that a peer may still help
+
+
+@attrs.define(eq=False)
+class PeerCalls:
+    """Answers peers; while this host leads, enlists them for advice."""
+
+    store: ports.Store
+    network: peers.Peers
+    advisor: ports.Advisor | None
+    desk: advicedesk.AdviceDesk
+    current_term: abc.Callable[[], term.Term | None]
+    _greeted: dict[str, float] = attrs.field(factory=dict)
+
+    def handlers(self) -> dict[str, peers.Handler]:
+        """Return the handler of each call that peers make."""
+        return {
+            'hello': self._hello,
+            'state': self._state,
+            'count': self._count,
+            'store': self._store,
+            'advise': self._advise,
+        }
+
+    async def _hello(self, plain: dict) -> dict:
+        current = self.current_term()
+        if current is None:
+            return {'epoch': 0, 'speaks': False, 'silence': 0}
+        self._enlist(plain['address'])
+        commits = current.cell.commits
+        return {
+            'epoch': commits.record.epoch,
+            'speaks': current.speaks(),
+            'silence': clock.now() - commits.committed_at,
+        }
+
+    def _enlist(self, address: str) -> None:
+        now = clock.now()
+        self._greeted[address] = now
+        if self.advisor is not None and address not in self.desk.callers:
+            self.desk.callers[address] = advicedesk.Caller(
+                address,
+                lambda step, workers, wait: self.network.advise(
+                    address, step, workers, wait
+                ),
+            )
+        for known, seen in list(self._greeted.items()):
+            if now - seen > PEER_SILENCE:
+                self._greeted.pop(known)
+                self.desk.callers.pop(known, None)
+
+    async def _state(self, plain: dict) -> dict:
+        state = self._speaking().state_of(plain['job'])
+        return {'state': state.value if state else ''}
+
+    async def _count(self, plain: dict) -> dict:
+        return {'waiting': self._speaking().count_waiting(plain['queue'])}
+
+    def _speaking(self) -> term.Term:
+        current = self.current_term()
+        if current is None or not current.speaks():
+            raise errors.RefusedError('this host does not lead')
+        return current
+
+    async def _store(self, plain: dict) -> dict:
+        key = plain['key']
+        if not key.startswith(keys.JOBS):
+            raise errors.RefusedError(f'{key}: only jobs are stored for peers')
+        wanted = ports.Transaction(
+            expects={key: 0}, puts={key: plain['body'].encode()}
+        )
+        try:
+            await self.store.commit(wanted)
+        except errors.ConflictError:
+            return {'created': False}
+        return {'created': True}
+
+    async def _advise(self, plain: dict) -> dict:
+        if self.advisor is None:
+            raise errors.RefusedError('no advice service is set')
+        good = await self.advisor.advise(
+            plain['step'], plain['workers'], plain['wait']
+        )
+        return {'good': good}
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 from collections import abc
 
 import attrs
@@ -13,8 +14,10 @@
 
 CALL_TIMEOUT = 0.5  # seconds; a usual answer takes 3 ms
 CONNECTIONS = 8  # to each peer
-OK = 200
-REFUSED = 503
+OK = http.HTTPStatus.OK
+NOT_FOUND = http.HTTPStatus.NOT_FOUND
+REFUSED = http.HTTPStatus.SERVICE_UNAVAILABLE
+UNKNOWN = http.HTTPStatus.GATEWAY_TIMEOUT
 
 
 @attrs.frozen
@@ -111,11 +114,11 @@
         """Answer one call."""
         handler = self.handlers.get(req.path.removeprefix('/peer/'))
         if handler is None:
-            return httpmessage.problem(404, f'{req.path}: no such call')
+            return httpmessage.problem(NOT_FOUND, f'{req.path}: no such call')
         try:
             plain = await handler(orjson.loads(req.body))
         except errors.RefusedError as exc:
             return httpmessage.problem(REFUSED, exc.reason)
         except errors.UnreachableError as exc:
-            return httpmessage.problem(504, str(exc))
+            return httpmessage.problem(UNKNOWN, str(exc))
         return httpmessage.json_reply(OK, plain)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import functools
+import itertools
 from collections import abc
 
 import attrs
@@ -14,6 +16,7 @@
 from jujubebend_cluster import book, fleet, jobspec
 
 RESERVATIONS = 2  # gangs at once that may keep lower work off workers
+PACKING_WEIGHT = 0.3  # of a worker's fill against its relative speed
 LATE_FACTOR = 3.0  # past this many objectives a job earns nothing
 
 
@@ -116,12 +119,12 @@
 def _allowed(
     one: _Pass, queue: jobspec.Queue, group: book.Group
 ) -> list[fleet.Worker]:
-    step = group.step
+    label = group.step.required_label
     return [
         worker
         for worker in one.workers
-        if not step.required_label or step.required_label in worker.entry.labels
-        if one.reserved.get(worker.name, queue.rank) >= queue.rank
+        if worker.has_label(label)
+        and one.reserved.get(worker.name, queue.rank) >= queue.rank
     ]
 
 
@@ -167,7 +170,8 @@
         ]
         if not choices:
             return False
-        best = max(choices, key=lambda worker: _merit(group, task, worker))
+        merit = functools.partial(_merit, group, task)
+        best = max(choices, key=merit)
         _take(one, group, task, best)
     return True
 
@@ -183,7 +187,7 @@
     fill = worker.used_cpu / max(1, room.cpu_milli)
     return (
         -float(worker.name in task.failed_on),
-        speed + 0.3 * fill,
+        speed + PACKING_WEIGHT * fill,
         fill,
     )
 
@@ -237,7 +241,7 @@
         count = worker.count_fitting(step.demand, wanted - len(seats))
         if step.per_worker_limit:
             count = min(count, step.per_worker_limit)
-        seats.extend([worker] * count)
+        seats.extend(itertools.repeat(worker, count))
         if len(seats) >= wanted:
             return seats
     return None
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/reports.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/reports.py
@@ -76,7 +76,7 @@
         )
         self._judge(worker, task, end.ending, now)
         queue = self.cell.queue_of(job)
-        attempts = queue.attempts if queue is not None else 1
+        attempts = queue.attempts if queue else 1
         released = self.cell.book.ended(
             task, end.ending, end.checkpoint, attempts
         )
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
@@ -49,9 +49,7 @@
         if made.placements:
             self._place(made.placements, now)
 
-    def _place(
-        self, placements: list[planner.Placement], now: float
-    ) -> None:
+    def _place(self, placements: list[planner.Placement], now: float) -> None:
         runs = _next_runs(placements)
         for placement in placements:
             task, worker = placement.task, placement.worker
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/term.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/term.py
@@ -8,7 +8,6 @@
 
 from jujubebend import errors
 from jujubebend_cluster import (
-    advicedesk,
     book,
     cell,
     clock,
@@ -57,8 +56,11 @@
             await self.cell.ended
         finally:
             loading.cancel()
-            await self.cell.close()
-            logs.belief('led', epoch=self.cell.epoch)
+            await self._close()
+
+    async def _close(self) -> None:
+        await self.cell.close()
+        logs.belief('led', epoch=self.cell.epoch)
 
     def resign(self) -> None:
         """End the term at this host's own wish."""
@@ -71,7 +73,7 @@
     def state_of(self, job: str) -> book.JobState | None:
         """Return the recorded state of a job, None if it is not known."""
         known = self.cell.book.jobs.get(job)
-        return known.shown if known is not None else None
+        return known.shown if known else None
 
     def count_waiting(self, queue: str) -> int:
         """Return how many of a queue's jobs have started no task."""
@@ -184,12 +186,3 @@
         self.cell.book.forget(job)
         for key in (keys.job(name), keys.cancel(name), keys.progress(name)):
             self.cell.commits.put(key, committer.Deletion())
-
-
-def begin(
-    around: cell.Surroundings,
-    commits: committer.Committer,
-    desk: advicedesk.AdviceDesk,
-) -> Term:
-    """Return a term, not yet running."""
-    return Term(cell.Cell(around, commits, desk))
