--- /dev/null
+++ b/tests/cluster/test_logs.py
@@ -0,0 +1,105 @@
+"""Log lines: JSON, bounded, and never a reason to wait."""
+
+from __future__ import annotations
+
+import os
+
+import orjson
+import pytest
+
+from jujubebend_cluster import clock, logs
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    os.set_blocking(reader, False)
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def _sink(writer, monkeypatch):
+    monkeypatch.setattr(clock, 'now', lambda: 5)
+    return logs.Sink(descriptor=writer, host='h')
+
+
+def _message(number=0, event='start_task'):
+    return {
+        'message_type': event,
+        'timestamp': 1.5,
+        'task_uuid': 'u',
+        'task_level': [1],
+        'job': f'j{number}',
+    }
+
+
+def _lines(reader):
+    return [orjson.loads(line) for line in os.read(reader, 10**6).splitlines()]
+
+
+def test_a_line_is_one_json_object(pipe, monkeypatch):
+    sink = _sink(pipe[1], monkeypatch)
+    sink(_message())
+    assert _lines(pipe[0]) == [
+        {'timestamp': 1.5, 'host': 'h', 'event': 'start_task', 'job': 'j0'}
+    ]
+
+
+def test_a_flood_is_bounded_and_counted(pipe, monkeypatch):
+    sink = _sink(pipe[1], monkeypatch)
+    for number in range(logs.LINES_PER_SECOND + 50):
+        sink(_message(number))
+    monkeypatch.setattr(clock, 'now', lambda: 6)
+    sink(_message())
+    lines = _lines(pipe[0])
+    assert len(lines) == logs.LINES_PER_SECOND + 2
+    assert lines[-2]['event'] == 'lines_left_out'
+    assert lines[-2]['count'] == 50
+
+
+def test_a_belief_is_written_in_a_flood(pipe, monkeypatch):
+    sink = _sink(pipe[1], monkeypatch)
+    for number in range(logs.LINES_PER_SECOND + 50):
+        sink(_message(number))
+    sink(_message(event='belief'))
+    assert _lines(pipe[0])[-1]['event'] == 'belief'
+
+
+def test_a_reader_that_stops_costs_lines_and_no_wait(pipe, monkeypatch):
+    sink = _sink(pipe[1], monkeypatch)
+    for second in range(40):
+        monkeypatch.setattr(clock, 'now', lambda now=second: now)
+        for number in range(logs.LINES_PER_SECOND):
+            sink(_message(number))
+    assert sink.left_out_total
+    assert len(sink._backlog) <= logs.LONGEST_BACKLOG
+
+
+def test_what_was_held_back_is_written_whole(pipe, monkeypatch):
+    sink = _sink(pipe[1], monkeypatch)
+    received = b''
+    for second in range(5):
+        monkeypatch.setattr(clock, 'now', lambda now=second: now)
+        for number in range(logs.LINES_PER_SECOND):
+            sink(_message(number))
+    for _ in range(100):
+        try:
+            received += os.read(pipe[0], 10**6)
+        except BlockingIOError:
+            break
+        sink.drain()
+    assert len([orjson.loads(line) for line in received.splitlines()]) == (
+        5 * logs.LINES_PER_SECOND
+    )
+
+
+def test_a_closed_reader_is_survived(monkeypatch):
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    os.close(reader)
+    sink = _sink(writer, monkeypatch)
+    sink(_message())
+    assert sink.left_out_total == 1
+    os.close(writer)
