--- a/packages/jujubebend-ctl/src/jujubebend_ctl/main.py
+++ b/packages/jujubebend-ctl/src/jujubebend_ctl/main.py
@@ -13,7 +13,7 @@
 from rich import console, progress, table
 
 from jujubebend import errors, manifest
-from jujubebend_ctl import client, submit, trial
+from jujubebend_ctl import client, explain, submit, trial
 from jujubebend_http import httpmessage
 from jujubebend_platform import store
 
@@ -137,6 +137,23 @@
     _print_status(states)
 
 
+@cli.command(name='explain')
+def explain_job(
+    job: typing.Annotated[str, typer.Argument(help='The ID of a job.')],
+    logs: typing.Annotated[
+        list[typer.FileBinaryRead],
+        typer.Argument(help='Log files of any hosts; - is standard input.'),
+    ],
+) -> None:
+    """Tell one job's story, in order, from the daemons' log lines."""
+    lines = explain.read(line for log in logs for line in log)
+    story = explain.tell(lines, job)
+    for line in story.render():
+        typer.echo(line)
+    if not story.lines:
+        raise typer.Exit(WORK_FAILED)
+
+
 @cli.command(name='try')
 def try_out(
     serve: typing.Annotated[
