--- a/packages/jujubebend-cluster/src/jujubebend_cluster/acceptance.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/acceptance.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import enum
+from collections import abc
 
 import attrs
 
@@ -16,6 +17,9 @@
 from jujubebend_cluster import clock, elector, keys, logs, peers, ports
 
 SETTLE_PAUSE = 0.08  # seconds between two attempts
+ATTEMPT = 0.6  # seconds; a store that is slow by 60 times takes 0.34
+OWN_PATH = ''  # the path that leads through no other host
+PROBE_PAUSE = 0.3  # seconds between attempts at a store that is silent
 
 
 class Outcome(enum.Enum):
@@ -27,13 +31,34 @@
     NO_SUCH_JOB = 'no_such_job'
 
 
+@attrs.define(eq=False)
+class _Path:
+    """A way to the store; one that is silent is tried only now and then."""
+
+    silent: bool = False
+    next_probe: float = 0
+
+    def is_open(self) -> bool:
+        """Say whether to try; takes the probe of a silent path."""
+        now = clock.now()
+        if self.silent and now < self.next_probe:
+            return False
+        self.next_probe = now + PROBE_PAUSE
+        return True
+
+
 @attrs.define(eq=False)
 class Acceptance:
-    """Stores jobs and cancels; ``due`` is when the caller gives up."""
+    """Stores jobs and cancels; ``due`` is when the caller gives up.
+
+    While the store is silent, what was not yet sent is refused at once:
+    it has surely not happened, and its caller may try again.
+    """
 
     store: ports.Store
     network: peers.Peers
     election: elector.Elector
+    _paths: dict[str, _Path] = attrs.field(factory=dict)
 
     async def create(self, key: str, body: bytes, due: float) -> Outcome:
         """Write a key unless it exists; the first writer's body stays."""
@@ -64,31 +89,44 @@
         return outcome
 
     async def _create_once(self, key: str, body: bytes, due: float) -> Outcome:
+        direct = await self._try(OWN_PATH, self._write(key, body), due)
+        if direct is Outcome.STORED:
+            return direct
+        leader = self.election.leader
+        if not leader or leader == self.network.address:
+            return direct
+        # The leader may reach a store that turns this host away.
+        relayed = self.network.store(leader, key, body)
+        other = await self._try(leader, relayed, due)
+        if Outcome.UNKNOWN in {direct, other} and other is not Outcome.STORED:
+            return Outcome.UNKNOWN
+        return other
+
+    async def _write(self, key: str, body: bytes) -> None:
         wanted = ports.Transaction(expects={key: 0}, puts={key: body})
         try:
-            async with asyncio.timeout(due - clock.now()):
-                await self.store.commit(wanted)
+            await self.store.commit(wanted)
         except errors.ConflictError:
-            return Outcome.STORED
-        except (errors.RefusedError, errors.NotSentError):
-            return await self._create_elsewhere(key, body)
-        except (errors.UnreachableError, TimeoutError):
-            elsewhere = await self._create_elsewhere(key, body)
-            if elsewhere is not Outcome.STORED:
-                return Outcome.UNKNOWN
-        return Outcome.STORED
-
-    async def _create_elsewhere(self, key: str, body: bytes) -> Outcome:
-        """Have the leader write the key: it may reach a store we do not."""
-        leader = self.election.leader
-        if not leader or leader == self.network.address:
+            # It is there already: the first one stays.
+            return
+
+    async def _try(
+        self, name: str, write: abc.Coroutine, due: float
+    ) -> Outcome:
+        path = self._paths.setdefault(name, _Path())
+        left = due - clock.now()
+        if left <= 0 or not path.is_open():
+            write.close()
             return Outcome.REFUSED
         try:
-            await self.network.store(leader, key, body)
+            async with asyncio.timeout(min(left, ATTEMPT)):
+                await write
         except (errors.RefusedError, errors.NotSentError):
             return Outcome.REFUSED
-        except errors.UnreachableError:
+        except (errors.UnreachableError, TimeoutError):
+            path.silent = True
             return Outcome.UNKNOWN
+        path.silent = False
         return Outcome.STORED
 
     async def _cancel_once(self, job: str) -> Outcome:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
@@ -83,7 +83,7 @@
 
     def _take(self, record: committer.LeaderRecord) -> None:
         if self.record is None or record.epoch != self.record.epoch:
-            logs.belief('leader', host=record.host, epoch=record.epoch)
+            logs.belief('leader', leader=record.host, epoch=record.epoch)
             self._gone = False
         self.record = record
 
--- a/tests/cluster/test_acceptance.py
+++ b/tests/cluster/test_acceptance.py
@@ -29,6 +29,7 @@
     async def store(self, address, key, body):
         if self.elsewhere is None:
             raise errors.RefusedError(address)
+        await self.elsewhere.get(key)
         self.elsewhere.put(key, body)
         return True
 
@@ -94,6 +95,41 @@
     _play(scenario)
 
 
+def test_a_store_known_to_be_silent_gives_a_refusal_at_once():
+    async def scenario(store, network, made):
+        store.mute = True
+        first = asyncio.create_task(_create(made))
+        await asyncio.sleep(0.65)
+        began = clock.now()
+        refused = 0
+        for number in range(20):
+            key = keys.job(f'k{number}')
+            outcome = await made.create(key, b'x', began + 0.1)
+            refused += outcome is REFUSED
+        assert refused >= 18
+        store.mute = False
+        await asyncio.sleep(acceptance.PROBE_PAUSE)
+        assert await made.create(keys.job('l'), b'x', clock.now() + 1) is (
+            STORED
+        )
+        assert await first is STORED
+
+    _play(scenario)
+
+
+def test_no_answer_comes_after_the_caller_has_gone():
+    async def scenario(store, network, made):
+        store.mute = True
+        made.election.leader = 'leader:1'
+        network.elsewhere = store
+        for wait in (0.05, 0.4, 1.3):
+            began = clock.now()
+            await _create(made, wait)
+            assert round(clock.now() - began - wait, 1) <= 0
+
+    _play(scenario)
+
+
 def test_a_refusal_after_an_unanswered_attempt_stays_unknown():
     async def scenario(store, network, made):
         store.hold_back = True
