Keep patient work off a fifth of the fast workers

Queues whose objective is twice the work or more now take slow workers first and leave a fifth of each fast one.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/acceptance.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/acceptance.py
@@ -70,7 +70,7 @@
             unknown = unknown or outcome is Outcome.UNKNOWN
             if not unknown:
                 return outcome
-            await asyncio.sleep(SETTLE_PAUSE)
+            await asyncio.sleep(min(SETTLE_PAUSE, max(0, due - clock.now())))
         return Outcome.UNKNOWN if unknown else Outcome.REFUSED
 
     async def cancel(self, job: str, due: float) -> Outcome:
@@ -85,7 +85,7 @@
                 # This attempt may still be carried out, whatever the next
                 # ones bring.
                 outcome = Outcome.UNKNOWN
-            await asyncio.sleep(SETTLE_PAUSE)
+            await asyncio.sleep(min(SETTLE_PAUSE, max(0, due - clock.now())))
         return outcome
 
     async def _create_once(self, key: str, body: bytes, due: float) -> Outcome:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -17,6 +17,9 @@
 
 RESERVATIONS = 2  # gangs at once that may keep lower work off workers
 PACKING_WEIGHT = 0.3  # of a worker's fill against its relative speed
+PATIENT_SLACK = 2.0  # times the work; slow workers take about 1.5 times
+FAST_FACTOR = 1.15  # times the mean pace of a service's workers
+KEPT_FREE = 0.2  # of a fast worker's processors, for work that needs it
 LATE_FACTOR = 3.0  # past this many objectives a job earns nothing
 
 
@@ -43,6 +46,7 @@
     plan: Plan
     now: float
     workers: abc.Sequence[fleet.Worker]
+    fast: float
     reserved: dict[str, int] = attrs.field(factory=dict)
     reservations: int = 0
 
@@ -71,7 +75,8 @@
     for queue, group in ordered:
         one = passes.get(queue.service)
         if one is None:
-            one = _Pass(made, now, cell.usable(queue.service, now))
+            workers = cell.usable(queue.service, now)
+            one = _Pass(made, now, workers, _fast_pace(workers))
             passes[queue.service] = one
         _place_group(one, queue, group)
     for placement in made.placements:
@@ -84,9 +89,9 @@
     allowed = _allowed(one, queue, group)
     ticketed = _ticketed(one, queue, group, allowed)
     if group.step.gang:
-        placed = _place_gang(one, group, ticketed)
+        placed = _place_gang(one, queue, group, ticketed)
     else:
-        placed = _place_each(one, group, ticketed)
+        placed = _place_each(one, queue, group, ticketed)
     if placed:
         return
     one.plan.blocked.append(group)
@@ -95,12 +100,44 @@
         suited = [
             worker for worker in allowed if worker.name in group.tickets.good
         ]
-        if _needs_advice(one, group, allowed, suited):
+        if _needs_advice(one, queue, group, allowed, suited):
             one.plan.unadvised.append(group)
     if group.step.gang:
         _reserve(one, queue, group, suited)
 
 
+def _fast_pace(workers: abc.Sequence[fleet.Worker]) -> float:
+    """Return the pace from which a worker counts as a fast one."""
+    total = sum(worker.speed for worker in workers)
+    return FAST_FACTOR * total / max(1, len(workers))
+
+
+def _is_patient(queue: jobspec.Queue) -> bool:
+    """Say whether the queue's objective allows for a slow worker."""
+    return queue.slack_factor >= PATIENT_SLACK
+
+
+def _seats_at(
+    one: _Pass,
+    queue: jobspec.Queue,
+    step: jobspec.Step,
+    worker: fleet.Worker,
+    most: int,
+) -> int:
+    """Return how many tasks of a step the worker may take now.
+
+    Work whose objective allows for slow workers leaves a share of the fast
+    ones to work that needs them.
+    """
+    kept = 0
+    if _is_patient(queue) and worker.speed >= one.fast:
+        kept = round(KEPT_FREE * worker.entry.capacity.cpu_milli)
+    worker.used_cpu += kept
+    count = worker.count_fitting(step.demand, most, filler=step.filler)
+    worker.used_cpu -= kept
+    return count
+
+
 def _ticketed(
     one: _Pass,
     queue: jobspec.Queue,
@@ -130,6 +167,7 @@
 
 def _needs_advice(
     one: _Pass,
+    queue: jobspec.Queue,
     group: book.Group,
     allowed: list[fleet.Worker],
     suited: list[fleet.Worker],
@@ -154,51 +192,60 @@
     # Tickets of a gang age while it waits for room: they are renewed once
     # the room is there.
     wanted = len(group.tasks)
-    return _gang_seats(one, group, suited + fresh, wanted) is not None
+    return _gang_seats(one, queue, group, suited + fresh, wanted) is not None
 
 
 def _place_each(
-    one: _Pass, group: book.Group, allowed: list[fleet.Worker]
+    one: _Pass,
+    queue: jobspec.Queue,
+    group: book.Group,
+    allowed: list[fleet.Worker],
 ) -> bool:
     step = group.step
     for task in group.waiting_tasks():
         choices = [
             worker
             for worker in allowed
-            if worker.fits(step.demand, filler=step.filler)
+            if _seats_at(one, queue, step, worker, 1)
             and _below_limit(group, worker, one)
         ]
         if not choices:
             return False
-        merit = functools.partial(_merit, group, task)
+        merit = functools.partial(_merit, queue, group, task)
         best = max(choices, key=merit)
         _take(one, group, task, best)
     return True
 
 
 def _merit(
-    group: book.Group, task: book.Task, worker: fleet.Worker
+    queue: jobspec.Queue,
+    group: book.Group,
+    task: book.Task,
+    worker: fleet.Worker,
 ) -> tuple[float, ...]:
     step = group.step
-    speed = worker.speed
-    if step.data_rack and worker.entry.rack != step.data_rack:
-        speed /= 2
+    far = bool(step.data_rack) and worker.entry.rack != step.data_rack
+    speed = -worker.speed if _is_patient(queue) else worker.speed
     room = worker.entry.capacity
     fill = worker.used_cpu / max(1, room.cpu_milli)
     return (
         -float(worker.name in task.failed_on),
+        -float(far),
         speed + PACKING_WEIGHT * fill,
         fill,
     )
 
 
 def _place_gang(
-    one: _Pass, group: book.Group, allowed: list[fleet.Worker]
+    one: _Pass,
+    queue: jobspec.Queue,
+    group: book.Group,
+    allowed: list[fleet.Worker],
 ) -> bool:
     if group.placed:
         return True
     tasks = group.waiting_tasks()
-    chosen = _gang_seats(one, group, allowed, len(tasks))
+    chosen = _gang_seats(one, queue, group, allowed, len(tasks))
     if chosen is None:
         return False
     for task, worker in zip(tasks, chosen, strict=True):
@@ -208,17 +255,18 @@
 
 def _gang_seats(
     one: _Pass,
+    queue: jobspec.Queue,
     group: book.Group,
     allowed: list[fleet.Worker],
     wanted: int,
 ) -> list[fleet.Worker] | None:
     if not group.step.same_rack:
-        return _seats(one, group, allowed, wanted)
+        return _seats(one, queue, group, allowed, wanted)
     racks: dict[str, list[fleet.Worker]] = {}
     for worker in allowed:
         racks.setdefault(worker.entry.rack, []).append(worker)
     for members in racks.values():
-        seats = _seats(one, group, members, wanted)
+        seats = _seats(one, queue, group, members, wanted)
         if seats is not None:
             return seats
     return None
@@ -226,6 +274,7 @@
 
 def _seats(
     one: _Pass,
+    queue: jobspec.Queue,
     group: book.Group,
     workers: list[fleet.Worker],
     wanted: int,
@@ -235,10 +284,10 @@
     ranked = sorted(
         workers,
         key=lambda worker: (worker.speed, worker.used_cpu),
-        reverse=True,
+        reverse=not _is_patient(queue),
     )
     for worker in ranked:
-        count = worker.count_fitting(step.demand, wanted - len(seats))
+        count = _seats_at(one, queue, step, worker, wanted - len(seats))
         if step.per_worker_limit:
             count = min(count, step.per_worker_limit)
         seats.extend(itertools.repeat(worker, count))
--- a/tests/cluster/test_planner.py
+++ b/tests/cluster/test_planner.py
@@ -121,6 +121,24 @@
     _play(check)
 
 
+def test_patient_work_leaves_room_on_fast_workers():
+    def check():
+        cell = _cell(4)
+        cell.workers['w3'].speed = 2.0
+        step = jobspec.Step(200, jobspec.Demand(800, 1))
+        made = _plan(cell, (PATIENT, _group('g', step)))
+        seats = [one.worker.name for one in made.placements]
+        assert seats[0] != 'w3'
+        assert seats.count('w3') == 32
+        assert seats.count('w0') == 40
+        made = _plan(cell, (URGENT, _group('g', step, URGENT)))
+        seats = [one.worker.name for one in made.placements]
+        assert seats[0] == 'w3'
+        assert seats.count('w3') == 40
+
+    _play(check)
+
+
 def test_a_gang_of_one_rack_never_crosses_racks():
     def check():
         cell = _cell(2)
