Take over sooner, settle lost answers sooner, keep callers free for urgent advice

Now an unmoved record is claimed after 1.3 s, hello times out after 0.3 s, a commit after 8 usual times, and a quarter of the hosts ask for urgent queues only.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/advicedesk.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/advicedesk.py
@@ -18,7 +18,8 @@
 MOST_WORKERS = 30  # named in one call; the objective counts one call on 30
 TICKET_MARGIN = 0.2  # seconds; a record and a start must fit into it
 CALL_SLACK = 1.5  # seconds beyond the time that the call should take
-LONGEST_BACKLOG = 2.5  # seconds of calls given to one host at once
+LONGEST_BACKLOG = 1.2  # seconds of calls given to one host at once
+URGENT_SHARE = 0.25  # of the hosts serve queues that cannot wait, and no other
 RETRY_PAUSE = 0.15  # seconds before a group asks again after a failure
 
 
@@ -45,10 +46,21 @@
     asked: int = 0
 
     def choose(
-        self, policy: jobspec.AdvicePolicy, workers: int, now: float
+        self,
+        policy: jobspec.AdvicePolicy,
+        workers: int,
+        now: float,
+        *,
+        patient: bool = False,
     ) -> Caller | None:
-        """Return the caller that is free first, None if all are too busy."""
+        """Return the caller that is free first, None if all are too busy.
+
+        Calls for patient queues take long; a few callers are kept free of
+        them.
+        """
         able = [one for one in self.callers.values() if now >= one.failed_until]
+        if patient:
+            able = able[round(URGENT_SHARE * len(able)) :]
         if not able:
             return None
         best = min(able, key=lambda one: (one.busy_until, random.random()))
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
@@ -21,6 +21,10 @@
 LEADER_KEY = 'lead'
 RECORDS_PER_COMMIT = 30  # the store takes 32 entries, the leader's included
 GATHER = 0.012  # seconds that a commit waits for more records to join it
+TIMEOUT_FACTOR = 8.0  # times the usual time of a commit
+TIMEOUT_LEAST = 0.15  # seconds; a lost answer is settled this soon
+TIMEOUT_MOST = 1.0  # seconds
+LATENCY_WEIGHT = 0.2  # of the newest commit in the usual time
 IDLE_COMMIT = 0.6  # seconds between commits that only show a live leader
 RETRY_FIRST = 0.05  # seconds
 RETRY_MOST = 0.4  # seconds; a store that is back is noticed this soon
@@ -91,6 +95,7 @@
     _wake: asyncio.Event = attrs.field(factory=asyncio.Event)
     deposed: bool = False
     store_lost: bool = False
+    _latency: float = TIMEOUT_LEAST / TIMEOUT_FACTOR
 
     def put(self, key: str, entry: Entry) -> None:
         """Write a key with the next batch."""
@@ -181,18 +186,29 @@
     async def _attempt(
         self, wanted: ports.Transaction, record: LeaderRecord
     ) -> bool:
+        began = clock.now()
         try:
-            self.revision = await self.store.commit(wanted)
+            self.revision = await self.store.commit(wanted, self._timeout())
         except errors.ConflictError:
             return await self._settle(record)
         except errors.RefusedError as exc:
             self._note_store(lost=True, why=str(exc))
             return False
         except errors.UnreachableError as exc:
-            self._note_store(lost=True, why=str(exc))
-            return await self._settle(record)
+            # The answer was lost, or the store became slow: the next one
+            # gets more time.
+            self._latency = min(TIMEOUT_MOST, self._latency * 2)
+            settled = await self._settle(record)
+            self._note_store(lost=not settled, why=str(exc))
+            return settled
+        taken = clock.now() - began
+        self._latency += LATENCY_WEIGHT * (taken - self._latency)
         return True
 
+    def _timeout(self) -> float:
+        wait = TIMEOUT_FACTOR * self._latency
+        return min(TIMEOUT_MOST, max(TIMEOUT_LEAST, wait))
+
     async def _settle(self, record: LeaderRecord) -> bool:
         """Read the leader record back to learn what became of a commit."""
         try:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
@@ -17,11 +17,12 @@
 from jujubebend import errors
 from jujubebend_cluster import clock, committer, logs, peers, ports
 
-TAKEOVER_AFTER = 2.0  # seconds; three idle commits of a leader
+TAKEOVER_AFTER = 1.3  # seconds; two idle commits of a leader
 SILENT_TAKEOVER = 1.0  # seconds; the leader itself tells of its silence
-POLL = 0.45  # seconds between reads while nobody is known to lead
+POLL = 0.25  # seconds between reads while nobody is known to lead
+READ_AGE = 0.9  # seconds; a read of a slow store takes 0.3
 CALM_POLL = 3.0  # seconds between reads while the leader greets us
-HELLO = 0.7  # seconds between greetings
+HELLO = 0.5  # seconds between greetings
 SPREAD = (0.8, 1.1)  # times a pause, so that hosts do not read in step
 STAGGER = 0.25  # seconds over which hosts spread their claims
 
@@ -96,7 +97,7 @@
         if record.address == self.network.address or self._gone:
             return True
         return clock.now() - self.moved_at > TAKEOVER_AFTER and (
-            clock.now() - self.store_read_at < POLL * 2
+            clock.now() - self.store_read_at < READ_AGE
         )
 
     async def _claim(self) -> None:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
@@ -13,6 +13,7 @@
 from jujubebend_http import httpclient, httpmessage
 
 CALL_TIMEOUT = 0.5  # seconds; a usual answer takes 3 ms
+HELLO_TIMEOUT = 0.3  # seconds; a leader that is late by more is suspect
 CONNECTIONS = 8  # to each peer
 OK = http.HTTPStatus.OK
 NOT_FOUND = http.HTTPStatus.NOT_FOUND
@@ -43,7 +44,10 @@
     async def hello(self, address: str) -> Greeting:
         """Tell the leader of this host; learn whether it still leads."""
         plain = await self._call(
-            address, 'hello', {'host': self.host, 'address': self.address}
+            address,
+            'hello',
+            {'host': self.host, 'address': self.address},
+            HELLO_TIMEOUT,
         )
         return Greeting(plain['epoch'], plain['speaks'], plain['silence'])
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -112,7 +112,7 @@
     return FAST_FACTOR * total / max(1, len(workers))
 
 
-def _is_patient(queue: jobspec.Queue) -> bool:
+def is_patient(queue: jobspec.Queue) -> bool:
     """Say whether the queue's objective allows for a slow worker."""
     return queue.slack_factor >= PATIENT_SLACK
 
@@ -130,7 +130,7 @@
     ones to work that needs them.
     """
     kept = 0
-    if _is_patient(queue) and worker.speed >= one.fast:
+    if is_patient(queue) and worker.speed >= one.fast:
         kept = round(KEPT_FREE * worker.entry.capacity.cpu_milli)
     worker.used_cpu += kept
     count = worker.count_fitting(step.demand, most, filler=step.filler)
@@ -225,7 +225,7 @@
 ) -> tuple[float, ...]:
     step = group.step
     far = bool(step.data_rack) and worker.entry.rack != step.data_rack
-    speed = -worker.speed if _is_patient(queue) else worker.speed
+    speed = -worker.speed if is_patient(queue) else worker.speed
     room = worker.entry.capacity
     fill = worker.used_cpu / max(1, room.cpu_milli)
     return (
@@ -284,7 +284,7 @@
     ranked = sorted(
         workers,
         key=lambda worker: (worker.speed, worker.used_cpu),
-        reverse=not _is_patient(queue),
+        reverse=not is_patient(queue),
     )
     for worker in ranked:
         count = _seats_at(one, queue, step, worker, wanted - len(seats))
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/ports.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/ports.py
@@ -54,7 +54,9 @@
         """Return changes past a revision; raises ``HistoryGoneError``."""
         ...
 
-    async def commit(self, wanted: Transaction) -> int:
+    async def commit(
+        self, wanted: Transaction, timeout: float | None = None
+    ) -> int:
         """Apply a transaction; raises ``ConflictError`` if it does not hold."""
         ...
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
@@ -86,7 +86,12 @@
         named = self.cell.desk.candidates(group, usable, now)
         if not named:
             return
-        caller = self.cell.desk.choose(queue.advice, len(named), now)
+        caller = self.cell.desk.choose(
+            queue.advice,
+            len(named),
+            now,
+            patient=planner.is_patient(queue),
+        )
         if caller is None:
             return
         group.tickets.asking = True
--- a/tests/cluster/test_committer.py
+++ b/tests/cluster/test_committer.py
@@ -8,7 +8,7 @@
 import pytest
 
 from jujubebend import errors
-from jujubebend_cluster import committer, ports
+from jujubebend_cluster import clock, committer, ports
 from tests import fakecell, virtualtime
 
 
@@ -24,6 +24,9 @@
         self.told += 1
 
 
+SOON = 0.3  # seconds
+
+
 async def _begin(store, epoch=1):
     item = store.data.get(committer.LEADER_KEY)
     record = committer.LeaderRecord(f'h{epoch}', f'h{epoch}:1', epoch, 0)
@@ -105,6 +108,31 @@
     _play(scenario)
 
 
+def test_a_lost_answer_is_settled_soon():
+    async def scenario(store, made, running):
+        store.lose = 1
+        began = clock.now()
+        made.put('k', _Entry(b'x'))
+        await made.flush()
+        assert round(clock.now() - began, 1) <= SOON
+
+    _play(scenario)
+
+
+def test_a_store_that_becomes_slow_gets_more_time():
+    async def scenario(store, made, running):
+        store.delay = 0.3
+        made.put('k', _Entry(b'x'))
+        await made.flush()
+        before = store.calls
+        for number in range(5):
+            made.put(f'k{number}', _Entry(b'x'))
+            await made.flush()
+        assert store.calls - before <= 8
+
+    _play(scenario)
+
+
 def test_a_write_done_late_finds_its_condition_gone():
     async def scenario(store, made, running):
         store.hold_back = True
