--- /dev/null
+++ b/packages/jujubebend-standin/src/jujubebend_standin/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""An emulator of the users' platform, for tests and the fault soak."""
--- a/packages/jujubebend-standin/src/jujubebend_standin/ports.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/ports.py
@@ -22,6 +22,15 @@
     return found
 
 
+def choose_row(count: int) -> int:
+    """Return the first of ``count`` ports in a row that are free now."""
+    rng = random.SystemRandom()
+    while True:
+        first = rng.randrange(LOWEST, HIGHEST - count)
+        if all(_is_free(first + at) for at in range(count)):
+            return first
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
         try:
