Say not ready where neither the store nor a leader can be reached

A host that is cut off accepts nothing, and the balancer may know another. In an outage of the whole store all hosts say so and the balancer uses all. Tests: tests/cluster/test_app.py.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
@@ -153,12 +153,24 @@
     async def _ready(self, req: httpmessage.Request) -> httpmessage.Reply:
         if req.path != self.addresses.ready_path:
             return httpmessage.problem(http.HTTPStatus.NOT_FOUND, 'not here')
-        if self._stopping or self.texts.text is None:
+        if self._stopping or not self._can_serve():
             return httpmessage.problem(
                 http.HTTPStatus.SERVICE_UNAVAILABLE, 'not ready'
             )
         return httpmessage.json_reply(http.HTTPStatus.OK, {})
 
+    def _can_serve(self) -> bool:
+        """Say whether a caller is better served here than elsewhere.
+
+        A host that is cut off from the store and from the leader can accept
+        nothing; the balancer may know another that can.
+        """
+        if self.texts.text is None:
+            return False
+        if self.texts.reaches_store() or self.election.greeted:
+            return True
+        return self.leading.current() is not None
+
     async def _metrics(self, req: httpmessage.Request) -> httpmessage.Reply:
         self.numbers.observe_term(self.leading.current())
         body = self.numbers.render()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/textfeed.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/textfeed.py
@@ -18,10 +18,19 @@
     prefix: str
     parse: abc.Callable[[bytes], jobspec.Text]
     text: jobspec.Text | None = None
+    _feed: feed.Feed = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Follow the whole prefix: it is small."""
+        self._feed = feed.Feed(self.store, self.prefix, self._take)
 
     async def run(self) -> None:
         """Follow the text until cancelled."""
-        await feed.Feed(self.store, self.prefix, self._take).run()
+        await self._feed.run()
+
+    def reaches_store(self) -> bool:
+        """Say whether the store answered the last question."""
+        return self._feed.healthy_since is not None
 
     def _take(self, key: str, item: ports.Item | None) -> None:
         if key != self.key or item is None or item.body is None:
--- /dev/null
+++ b/tests/cluster/test_app.py
@@ -0,0 +1,77 @@
+"""When a host says that it is ready, and what it answers as it stops."""
+
+from __future__ import annotations
+
+import asyncio
+
+from jujubebend_adapter import callers
+from jujubebend_cluster import app, cell, jobspec, textfeed
+from jujubebend_http import httpmessage
+from tests import fakecell, virtualtime
+
+READY = '/ready'
+
+
+def _app(store):
+    texts = textfeed.TextFeed(
+        store, 'op/config', 'op/', lambda body: jobspec.Text(int(body))
+    )
+    around = cell.Surroundings(
+        store=store,
+        connect=None,
+        parse_worker=None,
+        workers_prefix='servers/',
+        current_text=lambda: texts.text,
+        lease=6.0,
+        status_kept=120.0,
+    )
+    addresses = app.Addresses('f:1', 'r:1', 'p:1', 'm:1', READY)
+    return app.App('h', addresses, around, texts, None, callers, 6.0)
+
+
+async def _status(made):
+    req = httpmessage.Request('GET', READY, {})
+    return (await made._ready(req)).status
+
+
+def test_a_host_is_ready_once_it_has_a_text_and_while_it_reaches_anyone():
+    async def main():
+        store = fakecell.Store()
+        made = _app(store)
+        following = asyncio.create_task(made.texts.run())
+        await asyncio.sleep(0.1)
+        assert await _status(made) == 503
+        store.put('op/config', b'1')
+        await asyncio.sleep(0.1)
+        assert await _status(made) == 200
+        store.refuse = True
+        await asyncio.sleep(2)
+        assert await _status(made) == 503
+        made.election.greeted = True
+        assert await _status(made) == 200
+        made.election.greeted = False
+        store.refuse = False
+        await asyncio.sleep(2)
+        assert await _status(made) == 200
+        following.cancel()
+
+    virtualtime.run(main)
+
+
+def test_a_version_never_goes_back():
+    async def main():
+        store = fakecell.Store()
+        made = _app(store)
+        following = asyncio.create_task(made.texts.run())
+        store.put('op/config', b'7')
+        await asyncio.sleep(0.1)
+        store.put('op/config', b'5')
+        store.forget_history()
+        await asyncio.sleep(3)
+        assert made.texts.text.version == 7
+        store.put('op/config', b'9')
+        await asyncio.sleep(0.1)
+        assert made.texts.text.version == 9
+        following.cancel()
+
+    virtualtime.run(main)
