--- a/packages/jujubebend-cluster/src/jujubebend_cluster/__main__.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/__main__.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import sys
+import typing
+
+import typer
 
 from jujubebend import errors
 from jujubebend_adapter import advice, callers, settings, store, text, workers
@@ -11,6 +14,8 @@
 
 USAGE_EXIT = 2
 
+cli = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
 
 def build(cfg: settings.Settings) -> app.App:
     """Put a daemon together from its settings."""
@@ -48,17 +53,24 @@
     await build(cfg).run()
 
 
-def main() -> int:
-    """Run the daemon; return its exit status."""
+@cli.command()
+def main(
+    check: typing.Annotated[
+        bool, typer.Option('--check', help='Read the settings and exit.')
+    ] = False,
+) -> None:
+    """Run one host's daemon; its settings are named by the environment."""
     try:
         cfg = settings.load()
     except errors.InvalidInputError as exc:
         sys.stderr.write(f'{exc}\n')
-        return USAGE_EXIT
+        raise typer.Exit(USAGE_EXIT) from exc
+    if check:
+        typer.echo(f'{cfg.host}: settings are sound')
+        return
     logs.open_sink(cfg.host)
     asyncio.run(serve(cfg))
-    return 0
 
 
 if __name__ == '__main__':
-    sys.exit(main())
+    cli()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/advicedesk.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/advicedesk.py
@@ -13,7 +13,7 @@
 import attrs
 
 from jujubebend import errors
-from jujubebend_cluster import book, clock, fleet, jobspec, logs
+from jujubebend_cluster import book, clock, fleet, jobspec, logs, measures
 
 MOST_WORKERS = 30  # named in one call; the objective counts one call on 30
 TICKET_MARGIN = 0.2  # seconds; a record and a start must fit into it
@@ -43,7 +43,7 @@
     """Keeps the tickets of groups current."""
 
     callers: dict[str, Caller] = attrs.field(factory=dict)
-    asked: int = 0
+    numbers: measures.Measures = attrs.field(factory=measures.Measures)
 
     def choose(
         self,
@@ -83,11 +83,11 @@
         sent = clock.now()
         cost = policy.decide + policy.each * len(names)
         wait = max(0, caller.busy_until - sent) + cost + CALL_SLACK
-        self.asked += 1
         try:
             good = await caller.ask(group.step_name(), names, wait)
         except (errors.RefusedError, errors.UnreachableError) as exc:
             caller.failed_until = clock.now() + RETRY_PAUSE
+            self.numbers.count('advice_calls', outcome='failed')
             logs.decision(
                 'advice_failed',
                 job=group.job.spec.job,
@@ -99,6 +99,8 @@
         finally:
             tickets.asking = False
         now = clock.now()
+        self.numbers.count('advice_calls', outcome='answered')
+        self.numbers.observe('advice', now - sent)
         until = now + policy.valid - TICKET_MARGIN
         tickets.asked.update(names)
         tickets.asked_at = now
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
@@ -61,7 +61,9 @@
         """Put the parts together."""
         peer = self.addresses.peer
         self.network = peers.Peers(self.host, peer)
-        self.leading = leading.Leading(self.around, peer, self.advisor)
+        self.leading = leading.Leading(
+            self.around, peer, self.advisor, self.numbers
+        )
         self.election = elector.Elector(
             self.around.store, self.network, self.leading.lead
         )
@@ -75,6 +77,7 @@
             asyncio.create_task(self.texts.run()),
             asyncio.create_task(self.election.run()),
             asyncio.create_task(self._flush_logs()),
+            asyncio.create_task(self.numbers.watch_lag()),
         ]
         stopped = asyncio.create_task(self._stop.wait())
         await asyncio.wait(
@@ -172,6 +175,6 @@
         return self.leading.current() is not None
 
     async def _metrics(self, req: httpmessage.Request) -> httpmessage.Reply:
-        self.numbers.observe_term(self.leading.current())
+        self.leading.observe()
         body = self.numbers.render()
         return httpmessage.Reply(http.HTTPStatus.OK, body, 'text/plain')
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/cell.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/cell.py
@@ -17,6 +17,7 @@
     keys,
     link,
     logs,
+    measures,
     ports,
 )
 
@@ -59,6 +60,7 @@
     around: Surroundings
     commits: committer.Committer
     desk: advicedesk.AdviceDesk
+    numbers: measures.Measures = attrs.field(factory=measures.Measures)
     book: book.Book = attrs.field(factory=book.Book)
     workers: fleet.Fleet = attrs.field(factory=fleet.Fleet)
     links: dict[str, link.Link] = attrs.field(factory=dict)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
@@ -16,7 +16,7 @@
 import orjson
 
 from jujubebend import errors
-from jujubebend_cluster import clock, logs, ports
+from jujubebend_cluster import clock, logs, measures, ports
 
 LEADER_KEY = 'lead'
 RECORDS_PER_COMMIT = 30  # the store takes 32 entries, the leader's included
@@ -95,6 +95,7 @@
     _wake: asyncio.Event = attrs.field(factory=asyncio.Event)
     deposed: bool = False
     store_lost: bool = False
+    numbers: measures.Measures = attrs.field(factory=measures.Measures)
     _latency: float = TIMEOUT_LEAST / TIMEOUT_FACTOR
 
     def put(self, key: str, entry: Entry) -> None:
@@ -176,10 +177,13 @@
                 self.committed_at = sent
                 self.record = record
                 self.commits += 1
+                self.numbers.count('commits', outcome='stored')
+                self.numbers.observe('commit', clock.now() - sent)
                 self._note_store(lost=False)
                 for _, entry in puts:
                     entry.stored()
                 return
+            self.numbers.count('commits', outcome='retried')
             await asyncio.sleep(wait * random.uniform(0.5, 1))
             wait = min(RETRY_MOST, wait * 2)
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/leading.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/leading.py
@@ -4,7 +4,14 @@
 
 import attrs
 
-from jujubebend_cluster import advicedesk, cell, committer, ports, term
+from jujubebend_cluster import (
+    advicedesk,
+    cell,
+    committer,
+    measures,
+    ports,
+    term,
+)
 
 
 @attrs.define(eq=False)
@@ -14,6 +21,7 @@
     around: cell.Surroundings
     address: str
     advisor: ports.Advisor | None
+    numbers: measures.Measures
     desk: advicedesk.AdviceDesk = attrs.field(factory=advicedesk.AdviceDesk)
     term: term.Term | None = None
     stopping: bool = False
@@ -31,12 +39,22 @@
             self.desk.callers[self.address] = advicedesk.Caller(
                 self.address, self.advisor.advise
             )
-        self.term = term.Term(cell.Cell(self.around, commits, self.desk))
+        self.desk.numbers = self.numbers
+        commits.numbers = self.numbers
+        self.term = term.Term(
+            cell.Cell(self.around, commits, self.desk, self.numbers)
+        )
         try:
             await self.term.run()
         finally:
             self.term = None
 
+    def observe(self) -> None:
+        """Bring the gauges up to date."""
+        live = len(self.term.cell.book.live) if self.term else 0
+        self.numbers.gauge('leader', bool(self.term))
+        self.numbers.gauge('live_jobs', live)
+
     def stop(self) -> None:
         """End the running term and begin no other."""
         self.stopping = True
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/measures.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/measures.py
@@ -2,81 +2,109 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import aioprometheus
 import attrs
 from aioprometheus.formats import text
 
-from jujubebend_cluster import logs, term
+from jujubebend_cluster import logs
 
-BUCKETS = (0.005, 0.02, 0.1, 0.5, 2.0, 5.0)  # seconds
+BUCKETS = (0.005, 0.02, 0.1, 0.5, 2.0, 5.0, 15.0)  # seconds
+LAG_EVERY = 0.5  # seconds between two measurements of the loop's lag
 
 
 @attrs.define(eq=False)
 class Measures:
-    """Counters and histograms of one process."""
+    """Counters and histograms of one process.
+
+    Names follow Prometheus: counters end in ``_total``, times in
+    ``_seconds``.
+
+        numbers = Measures()
+        numbers.count('starts', outcome='accepted')
+        numbers.observe('commit', 0.006)
+    """
 
     registry: aioprometheus.Registry = attrs.field(
         factory=aioprometheus.Registry
     )
-    _answers: aioprometheus.Counter = attrs.field(init=False)
-    _seconds: aioprometheus.Histogram = attrs.field(init=False)
+    _counters: dict[str, aioprometheus.Counter] = attrs.field(factory=dict)
+    _times: dict[str, aioprometheus.Histogram] = attrs.field(factory=dict)
     _gauges: dict[str, aioprometheus.Gauge] = attrs.field(factory=dict)
 
-    def __attrs_post_init__(self) -> None:
-        """Register what is counted."""
-        self._answers = aioprometheus.Counter(
-            'jujubebend_answers_total',
-            'Answers to callers by method and status.',
-            registry=self.registry,
-        )
-        self._seconds = aioprometheus.Histogram(
-            'jujubebend_answer_seconds',
-            'Seconds from a whole request to its answer, by method.',
-            registry=self.registry,
-            buckets=list(BUCKETS),
-        )
+    def count(self, name: str, **labels: str) -> None:
+        """Count one event, such as an answer or a start, by its labels."""
+        counter = self._counters.get(name)
+        if counter is None:
+            counter = aioprometheus.Counter(
+                f'jujubebend_{name}_total',
+                COUNTED[name],
+                registry=self.registry,
+            )
+            self._counters[name] = counter
+        counter.inc(labels)
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Add a duration to a histogram."""
+        times = self._times.get(name)
+        if times is None:
+            times = aioprometheus.Histogram(
+                f'jujubebend_{name}_seconds',
+                TIMED[name],
+                registry=self.registry,
+                buckets=list(BUCKETS),
+            )
+            self._times[name] = times
+        times.observe(labels, seconds)
 
     def answered(self, method: str, status: int, seconds: float) -> None:
         """Count an answer to a caller."""
-        self._answers.inc({'method': method, 'status': str(int(status))})
-        self._seconds.observe({'method': method}, seconds)
-
-    def observe_term(self, current: term.Term | None) -> None:
-        """Take the leader's figures; zero where another host leads."""
-        leads = current is not None
-        self._set('jujubebend_leader', 'One where this host leads.', leads)
-        self._set(
-            'jujubebend_log_lines_left_out',
-            'Log lines left out to bound their volume.',
-            logs.SINK.left_out_total,
-        )
-        if current is None:
-            return
-        book = current.cell.book
-        self._set('jujubebend_live_jobs', 'Jobs not ended.', len(book.live))
-        self._set(
-            'jujubebend_starts',
-            'Starts ordered in this term.',
-            current.orders.starts,
-        )
-        self._set(
-            'jujubebend_commits',
-            'Commits to the store in this term.',
-            current.cell.commits.commits,
-        )
-        self._set(
-            'jujubebend_advice_calls',
-            'Calls for advice made by this process.',
-            current.cell.desk.asked,
-        )
+        self.count('answers', method=method, status=str(int(status)))
+        self.observe('answer', seconds, method=method)
+
+    def gauge(self, name: str, amount: float) -> None:
+        """Set a gauge."""
+        known = self._gauges.get(name)
+        if known is None:
+            known = aioprometheus.Gauge(
+                f'jujubebend_{name}', GAUGED[name], registry=self.registry
+            )
+            self._gauges[name] = known
+        known.set({}, amount)
+
+    async def watch_lag(self) -> None:
+        """Measure how late the event loop wakes, until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + LAG_EVERY
+            await asyncio.sleep(LAG_EVERY)
+            self.observe('loop_lag', max(0, loop.time() - due))
 
     def render(self) -> bytes:
         """Return every metric as text."""
+        self.gauge('log_lines_left_out', logs.SINK.left_out_total)
         return text.TextFormatter().marshall(self.registry)
 
-    def _set(self, name: str, doc: str, amount: float) -> None:
-        if name not in self._gauges:
-            self._gauges[name] = aioprometheus.Gauge(
-                name, doc, registry=self.registry
-            )
-        self._gauges[name].set({}, amount)
+
+COUNTED = {
+    'answers': 'Answers to callers, by method and status.',
+    'starts': 'Starts of tasks ordered by this leader, by outcome.',
+    'ends': 'Ends of runs heard by this leader, by how they ended.',
+    'commits': 'Commits to the store by this leader, by outcome.',
+    'advice_calls': 'Calls for advice by this leader, by outcome.',
+    'holds': 'Holds of workers by this leader, by outcome.',
+}
+TIMED = {
+    'answer': 'Seconds from a whole request to its answer, by method.',
+    'commit': 'Seconds that a commit to the store took.',
+    'start_wait': 'Seconds from when a step was ready to each start of it.',
+    'advice': 'Seconds that a call for advice took.',
+    'lease_margin': 'Seconds left of a lease when it was renewed.',
+    'loop_lag': 'Seconds that the event loop woke late.',
+}
+GAUGED = {
+    'leader': 'One where this host leads.',
+    'live_jobs': 'Jobs that have not ended, as this leader knows.',
+    'log_lines_left_out': 'Log lines left out to bound their volume.',
+}
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/orders.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/orders.py
@@ -23,7 +23,6 @@
     """Sends orders to workers and takes their verdicts."""
 
     cell: cell.Cell
-    starts: int = 0
 
     async def start_all(self, placements: list[planner.Placement]) -> None:
         """Start tasks once their placement is stored."""
@@ -86,12 +85,15 @@
             self.release(worker, task, 'its worker changed before its start')
             return
         task.ordered = True
-        self.starts += 1
         made = self.cell.links[worker.name]
+        ready = task.group.ready_at or clock.now()
+        self.cell.numbers.observe('start_wait', clock.now() - ready)
         verdict = await made.start(task, placement.ticket)
         if task.run != run or task.state is not book.TaskState.PLACED:
             return
-        _log_start(task, worker, verdict)
+        outcome = verdict.value if verdict else 'unknown'
+        self.cell.numbers.count('starts', outcome=outcome)
+        _log_start(task, worker, outcome)
         self._take_verdict(task, worker, verdict)
 
     def _take_verdict(
@@ -124,9 +126,7 @@
     return ready and task.life == worker.entry.born
 
 
-def _log_start(
-    task: book.Task, worker: fleet.Worker, verdict: ports.Verdict | None
-) -> None:
+def _log_start(task: book.Task, worker: fleet.Worker, outcome: str) -> None:
     age = clock.now() - (worker.clock_read or 0)
     logs.decision(
         'start',
@@ -137,5 +137,5 @@
         token=worker.token,
         report_age=round(age, 3),
         free_cpu=worker.entry.capacity.cpu_milli - worker.used_cpu,
-        outcome=verdict.value if verdict else 'unknown',
+        outcome=outcome,
     )
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/reports.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/reports.py
@@ -35,6 +35,9 @@
         self, worker: fleet.Worker, look: ports.Look, sent: float
     ) -> bool:
         """Take what a worker tells; True once all of it is stored."""
+        margin = worker.leased_until - look.clock
+        self.cell.numbers.observe('lease_margin', max(0, margin))
+        self.cell.numbers.count('holds', outcome='answered')
         for end in look.ended:
             self._take_end(worker, end)
         self._take_running(worker, look, sent)
@@ -74,6 +77,7 @@
             number=end.number,
             seconds=round(now - task.placed_at, 3),
         )
+        self.cell.numbers.count('ends', how=end.ending.value)
         self._judge(worker, task, end.ending, now)
         queue = self.cell.queue_of(job)
         attempts = queue.attempts if queue else 1
--- a/packages/jujubebend-standin/src/jujubebend_standin/fleet/soak.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/fleet/soak.py
@@ -31,6 +31,7 @@
     callers: load.Load = attrs.field(init=False)
     chance: random.Random = attrs.field(init=False)
     done: list[str] = attrs.field(factory=list)
+    stopped: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Draw from the seed."""
@@ -45,8 +46,10 @@
             feeding = asyncio.create_task(self._feed())
             for _ in range(self.faults):
                 await self._one_fault()
-            feeding.cancel()
-            await asyncio.gather(feeding, return_exceptions=True)
+            # Callers whose answer is out are waited for: cancelled halfway,
+            # they would not know whether their job was accepted.
+            self.stopped = True
+            await feeding
             return await self._verdict()
         finally:
             await self.callers.close()
@@ -67,7 +70,7 @@
 
     async def _feed(self) -> None:
         async with asyncio.TaskGroup() as group:
-            while True:
+            while not self.stopped:
                 group.create_task(
                     self.callers.submit(
                         self.chance.randint(1, 4),
