--- a/packages/jujubebend-cluster/src/jujubebend_cluster/__main__.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/__main__.py
@@ -45,6 +45,7 @@
         advisor=advice.Advisor(cfg.advice) if cfg.advice else None,
         form=callers,
         grace=cfg.grace,
+        cores=cfg.cores,
     )
 
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
@@ -40,7 +40,10 @@
 
 @attrs.define(eq=False)
 class App:
-    """Owns everything that runs on one host; ``grace`` is in seconds."""
+    """Owns everything that runs on one host; ``grace`` is in seconds.
+
+    ``cores`` is the processor time that the host has for it.
+    """
 
     host: str
     addresses: Addresses
@@ -49,6 +52,7 @@
     advisor: ports.Advisor | None
     form: door.CallerFormat
     grace: float
+    cores: float = 1
     numbers: measures.Measures = attrs.field(factory=measures.Measures)
     network: peers.Peers = attrs.field(init=False)
     election: elector.Elector = attrs.field(init=False)
@@ -65,7 +69,7 @@
             self.around, peer, self.advisor, self.numbers
         )
         self.election = elector.Elector(
-            self.around.store, self.network, self.leading.lead
+            self.around.store, self.network, self.leading.lead, self.cores
         )
 
     async def run(self) -> None:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
@@ -24,7 +24,8 @@
 CALM_POLL = 3.0  # seconds between reads while the leader greets us
 HELLO = 0.5  # seconds between greetings
 SPREAD = (0.8, 1.1)  # times a pause, so that hosts do not read in step
-STAGGER = 0.25  # seconds over which hosts spread their claims
+STAGGER = 0.05  # seconds over which hosts of one size spread their claims
+STAGGER_BY_SIZE = 0.15  # seconds for a host of one core; half that for two
 
 
 @attrs.define(eq=False)
@@ -34,6 +35,7 @@
     store: ports.Store
     network: peers.Peers
     lead: abc.Callable[[committer.Committer], abc.Awaitable[None]]
+    cores: float = 1
     record: committer.LeaderRecord | None = None
     revision: int = 0
     moved_at: float = 0
@@ -57,7 +59,7 @@
                 await self._read()
                 next_read = clock.now() + CALM_POLL
             if self._is_claimable():
-                await asyncio.sleep(random.uniform(0, STAGGER))
+                await asyncio.sleep(self._claim_delay())
                 await self._claim()
                 continue
             await self._greet()
@@ -88,6 +90,11 @@
             self._gone = False
         self.record = record
 
+    def _claim_delay(self) -> float:
+        """Return how long to wait so that larger hosts claim first."""
+        by_size = STAGGER_BY_SIZE / self.cores
+        return by_size + random.uniform(0, STAGGER)
+
     def _is_claimable(self) -> bool:
         if self.stopping or not self.store_read_at:
             return False
--- a/tests/cluster/test_elector.py
+++ b/tests/cluster/test_elector.py
@@ -39,13 +39,16 @@
     commits: committer.Committer | None = None
     down: bool = False
     frozen: bool = False
+    cores: float = 1
     election: elector.Elector = attrs.field(init=False)
     running: asyncio.Task = attrs.field(init=False)
     led: list = attrs.field(factory=list)
 
     def begin(self):
         network = _Network(self.name, f'{self.name}:1', self.hosts)
-        self.election = elector.Elector(self.store, network, self._lead)
+        self.election = elector.Elector(
+            self.store, network, self._lead, self.cores
+        )
         self.running = asyncio.create_task(self.election.run())
 
     async def _lead(self, commits):
@@ -65,12 +68,12 @@
 LIMIT = 2.5  # seconds from the last commit to another leader
 
 
-def _play(scenario, count=4):
+def _play(scenario, cores=(1, 1, 1, 1)):
     async def main():
         store = fakecell.Store()
         hosts = {}
-        for number in range(count):
-            host = _Host(f'h{number}', store, hosts)
+        for number, size in enumerate(cores):
+            host = _Host(f'h{number}', store, hosts, cores=size)
             hosts[f'h{number}:1'] = host
         for host in hosts.values():
             host.begin()
@@ -162,3 +165,13 @@
         assert _leaders(hosts)[0] is not leader
 
     _play(scenario)
+
+
+def test_the_largest_host_leads():
+    async def scenario(store, hosts):
+        assert _leaders(hosts)[0].name == 'h2'
+        _leaders(hosts)[0].kill()
+        await asyncio.sleep(3)
+        assert _leaders(hosts)[0].name == 'h1'
+
+    _play(scenario, cores=(0.4, 1, 2, 0.4))
