Read jobs in slices at a takeover, and ended ones not whole

Ended jobs are now known by their record alone, and the loop turns every eight jobs. Tests: test_term (keeps committing, knows ended jobs).

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
@@ -168,6 +168,11 @@
                 self._open(job, 0)
         return job
 
+    def add_ended(self, name: str, state: JobState) -> None:
+        """Add a job of which only its end is still of interest."""
+        spec = jobspec.JobSpec(name, '', '', (), 0)
+        self.jobs[name] = Job(spec, state, shown=state, begun=True)
+
     def open_due(self, job: Job, unix: float, now: float) -> None:
         """Open the occurrences that are due and find steps that are ready."""
         spec = job.spec
@@ -343,6 +348,12 @@
     return JobState(orjson.loads(progress)['state'])
 
 
+def has_runs(progress: bytes) -> bool:
+    """Say whether a record tells of runs that have not ended."""
+    rows = orjson.loads(progress)['tasks'].values()
+    return any(row[0] == TaskState.PLACED.value for row in rows)
+
+
 def _restore(job: Job, plain: dict) -> None:
     job.state = JobState(plain['state'])
     job.shown = job.state
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/term.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/term.py
@@ -24,6 +24,7 @@
 from jujubebend_cluster import scheduler as scheduling
 
 FORGET_SLACK = 30.0  # seconds an ended job is kept beyond what callers need
+LOAD_SLICE = 8  # jobs read between two turns of the event loop
 SWEEP_EVERY = 0.5  # seconds between looks at orphans and old jobs
 
 
@@ -86,10 +87,12 @@
         inbox, revision = await self._insist(keys.INBOX)
         progress, _ = await self._insist(keys.PROGRESS)
         told = {item.key: item.body for item in progress}
-        for item in inbox:
+        for number, item in enumerate(inbox):
             if item.key.startswith(keys.JOBS) and item.body is not None:
-                spec = records.decode_job(item.body)
-                self.cell.book.add(spec, told.get(keys.progress(spec.job)))
+                self._load_job(item, told)
+            if number % LOAD_SLICE == 0:
+                # Others take a leader that does not commit for gone.
+                await asyncio.sleep(0)
         for item in inbox:
             self._take_inbox(item.key, item)
         follower = feed.Feed(
@@ -106,6 +109,18 @@
             live=len(self.cell.book.live),
         )
 
+    def _load_job(
+        self, item: ports.Item, told: dict[str, bytes | None]
+    ) -> None:
+        name = item.key.removeprefix(keys.JOBS)
+        progress = told.get(keys.progress(name))
+        state = book.recorded_state(progress) if progress else None
+        if state in book.ENDED_STATES and not book.has_runs(progress):
+            self.cell.book.add_ended(name, state)
+        else:
+            spec = records.decode_job(item.body or b'')
+            self.cell.book.add(spec, progress)
+
     def _begin(self, follower: feed.Feed) -> None:
         self.loaded = True
         self.cell.spawn(follower.run())
--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 import pytest
 
-from jujubebend_cluster import jobspec, keys, ports
+from jujubebend_cluster import jobspec, keys, ports, term
 from tests import fakecell
 from tests.cluster import celltest
 
@@ -73,6 +74,44 @@
     celltest.play(scenario, *workers)
 
 
+def test_a_new_leader_keeps_committing_while_it_reads_many_jobs():
+    async def scenario(cell):
+        first = await cell.lead()
+        for number in range(300):
+            cell.submit(fakecell.job(f'j{number}', jobspec.Step(9, DEMAND)))
+        await celltest.until(lambda: len(first.cell.book.jobs) == 300)
+        await cell.kill()
+        second = await cell.lead(epoch=2)
+        with mock.patch.object(asyncio, 'sleep', wraps=asyncio.sleep) as sleep:
+            await celltest.until(lambda: second.loaded)
+        yields = sum(call.args == (0,) for call in sleep.call_args_list)
+        assert yields >= 300 / term.LOAD_SLICE
+
+    celltest.play(scenario)
+
+
+def test_a_new_leader_knows_ended_jobs_without_reading_them_whole():
+    async def scenario(cell):
+        first = await cell.lead()
+        cell.submit(fakecell.job('j'))
+        cell.submit(fakecell.job('k'))
+        cell.cancel('k')
+        await celltest.until(lambda: celltest.shown(first, 'j') == 'completed')
+        await celltest.until(lambda: not first.cell.book.live)
+        await cell.kill()
+        second = await cell.lead(epoch=2)
+        await celltest.until(lambda: second.loaded)
+        assert celltest.shown(second, 'j') == 'completed'
+        assert celltest.shown(second, 'k') == 'cancelled'
+        assert not second.cell.book.live
+        assert not second.cell.book.jobs['j'].groups
+        cell.submit(fakecell.job('j'))
+        await asyncio.sleep(2)
+        assert len(celltest.runs_of(cell, 'j')) == 1
+
+    celltest.play(scenario)
+
+
 def test_a_task_at_a_silent_worker_waits_for_every_lease_to_lapse():
     async def scenario(cell):
         await cell.lead()
