--- a/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
@@ -129,7 +129,11 @@
 
 @attrs.define(eq=False)
 class Job:
-    """One accepted job."""
+    """One accepted job.
+
+    ``begun`` says that a worker has taken a start of it; after a takeover it
+    is learned anew from what workers list.
+    """
 
     spec: jobspec.JobSpec
     state: JobState = JobState.QUEUED
@@ -205,7 +209,6 @@
         task.percent = 0
         group = task.group
         group.placed += 1
-        group.job.begun = True
         if not group.job.is_ended:
             group.job.state = JobState.RUNNING
 
@@ -336,7 +339,6 @@
     }
     plain = {
         'state': job.state.value,
-        'begun': job.begun,
         'tasks': tasks,
         'gangs': gangs,
     }
@@ -357,7 +359,6 @@
 def _restore(job: Job, plain: dict) -> None:
     job.state = JobState(plain['state'])
     job.shown = job.state
-    job.begun = plain['begun']
     job.restored = plain
     occurrences = {int(key.partition('.')[0]) for key in plain['tasks']}
     for occurrence in sorted(occurrences):
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/orders.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/orders.py
@@ -105,6 +105,7 @@
         now = clock.now()
         if verdict is ports.Verdict.ACCEPTED:
             task.answered_at = now
+            task.group.job.begun = True
             return
         if verdict is None:
             self.stop(task, 'its start was not answered')
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/reports.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/reports.py
@@ -67,6 +67,7 @@
         now = clock.now()
         group = task.group
         job = group.job
+        job.begun = True
         logs.decision(
             'ended',
             job=end.task.job,
@@ -168,6 +169,7 @@
         row: ports.Running,
         now: float,
     ) -> None:
+        task.group.job.begun = True
         if row.checkpoint:
             task.checkpoint = row.checkpoint
         if row.percent != task.percent:
--- a/packages/jujubebend-standin/src/jujubebend_standin/fleet/worker.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/fleet/worker.py
@@ -67,6 +67,7 @@
     present: dict[str, Run] = attrs.field(factory=dict)
     ends: list[tuple[int, Run]] = attrs.field(factory=list)
     highest: dict[str, int] = attrs.field(factory=dict)
+    lapsed_ends: set[int] = attrs.field(factory=set)
     began: float = attrs.field(factory=time.monotonic)
 
     async def handle(self, req: httpmessage.Request) -> httpmessage.Reply:
@@ -97,6 +98,7 @@
             run.end(now, 'crashed')
         self.present.clear()
         self.ends.clear()
+        self.lapsed_ends.clear()
         self.highest.clear()
         self.token = 0
         self.number = 0
@@ -137,16 +139,21 @@
         self.highest[task] = max(run, self.highest.get(task, 0))
         held = self.present.get(task)
         if held is not None and held.run == run:
-            self._end(held, 'stopped')
+            self._end(held, 'stopped', time.monotonic())
         return self._reply(http.HTTPStatus.OK)
 
     async def _hold(self, plain: dict) -> httpmessage.Reply:
+        if self.clock() > self.until:
+            # Ends from before a lapse stand for nothing: their tasks may
+            # have been started elsewhere.
+            self.lapsed_ends.update(number for number, _ in self.ends)
         until = plain.get('until_ms', 0) / MILLI
         most = self.clock() + LONGEST_HOLD
         self.until = max(self.until, min(until, most))
         self.seen = max(self.seen, plain['last_seen'])
         for number, run in self.ends:
-            run.noted = run.noted or number <= self.seen
+            heard = number <= self.seen and number not in self.lapsed_ends
+            run.noted = run.noted or heard
         deadline = time.monotonic() + plain.get('wait_ms', 0) / MILLI
         while True:
             self._settle()
@@ -173,15 +180,16 @@
 
     def _settle(self) -> None:
         now = time.monotonic()
-        lapsed = self.clock() > self.until
+        lapse = self.began + self.until
         for run in list(self.present.values()):
-            if now >= run.due:
-                self._end(run, 'failed' if self.faults.fail_runs else 'done')
-            elif lapsed:
-                self._end(run, 'lapsed')
-
-    def _end(self, run: Run, how: str) -> None:
-        run.end(time.monotonic(), how)
+            if run.due <= min(now, lapse):
+                how = 'failed' if self.faults.fail_runs else 'done'
+                self._end(run, how, run.due)
+            elif lapse < now:
+                self._end(run, 'lapsed', lapse)
+
+    def _end(self, run: Run, how: str, at: float) -> None:
+        run.end(at, how)
         self.present.pop(run.task)
         self.number += 1
         self.ends.append((self.number, run))
--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -241,6 +241,23 @@
     celltest.play(scenario)
 
 
+def test_a_job_waits_until_a_worker_has_taken_a_start():
+    async def scenario(cell):
+        made = await cell.lead()
+        for number in range(6):
+            cell.submit(fakecell.job(f'j{number}'))
+        await celltest.until(lambda: made.count_waiting('q') == 6)
+        for worker in cell.workers.values():
+            worker.refuse = True
+        await asyncio.sleep(0.3)
+        assert made.count_waiting('q') == 6
+        for worker in cell.workers.values():
+            worker.refuse = False
+        await celltest.until(lambda: not made.count_waiting('q'))
+
+    celltest.play(scenario)
+
+
 def test_a_gang_starts_whole_with_one_run_number():
     async def scenario(cell):
         made = await cell.lead()
--- a/tests/fleet/test_soak.py
+++ b/tests/fleet/test_soak.py
@@ -8,13 +8,15 @@
 
 from jujubebend_standin.fleet import checks, load, site, soak, worker
 
-SEEDS = (1,)
-FAULTS = 4
+# Seed and number of faults. Seed 10 once showed a run that was done behind a
+# silence and began again after its lease had lapsed, which is allowed: the
+# stand-in had taken the end of the silence for the end of the run.
+SEEDS = ((1, 4), (10, 8))
 
 
-@pytest.mark.parametrize('seed', SEEDS)
-def test_no_promise_is_broken_under_drawn_faults(seed, tmp_path):
-    assert not soak.play(tmp_path, seed, FAULTS)
+@pytest.mark.parametrize(('seed', 'faults'), SEEDS)
+def test_no_promise_is_broken_under_drawn_faults(seed, faults, tmp_path):
+    assert not soak.play(tmp_path, seed, faults)
 
 
 def _run(task, run, begun, ended, how='done', *, noted=True):
@@ -65,3 +67,23 @@
         assert not _broken(tmp_path, runs, accepted=True, state='completed')
 
     asyncio.run(main())
+
+
+def test_an_end_from_before_a_lapse_is_not_noted():
+    async def main():
+        one = worker.FleetWorker('w', 4)
+        one.until = one.clock() + 1
+        now = one.began
+        done = worker.Run('j', 1, 1, now, now + 0.5)
+        late = worker.Run('k', 1, 1, now, now + 5)
+        one.present = {'j': done, 'k': late}
+        one.began -= 3
+        done.due -= 3
+        late.due -= 3
+        one._settle()
+        assert (done.how, late.how) == ('done', 'lapsed')
+        assert done.ended == done.due
+        await one._hold({'fencing_token': 1, 'last_seen': 2})
+        assert not done.noted
+
+    asyncio.run(main())
