--- a/tests/http/test_httpserver.py
+++ b/tests/http/test_httpserver.py
@@ -125,3 +125,17 @@
             assert len(reply.body) == 5_000_000
 
     _run(scenario, large)
+
+
+def test_both_content_length_and_transfer_encoding_are_refused():
+    async def scenario(server):
+        sent = (
+            b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n'
+            b'transfer-encoding: chunked\r\n\r\n0\r\n\r\n'
+            b'GET /smuggled HTTP/1.1\r\nhost: x\r\n\r\n'
+        )
+        received = await _raw(server, sent)
+        assert received.startswith(b'HTTP/1.1 400')
+        assert received.count(b'HTTP/1.1') == 1
+
+    _run(scenario)
--- a/tests/jujubebend/test_admission.py
+++ b/tests/jujubebend/test_admission.py
@@ -25,3 +25,8 @@
     for number in range(1000):
         meter.granted(number / 10)
     assert 8 < meter.rate(100) < 12
+
+
+def test_what_may_wait_is_bounded_by_the_time_left():
+    assert admission.judge(11, 1000, time_left=1, rate=10) is not None
+    assert admission.judge(10, 1000, time_left=1, rate=10) is None
--- a/tests/jujubebend/test_ejection.py
+++ b/tests/jujubebend/test_ejection.py
@@ -64,3 +64,12 @@
     ejector.ended('bad', failed=True, now=now)
     assert not ejector.admits('bad', now + ejection.FIRST_PROBE)
     assert ejector.admits('bad', now + 2 * ejection.FIRST_PROBE)
+
+
+def test_no_more_than_a_third_of_the_workers_is_ejected():
+    ejector = ejection.Ejector(workers=12)
+    for number in range(12):
+        ejector.ended(f'w{number}', failed=False, now=0)
+    for number in range(8):
+        _ended(ejector, f'w{number}', 20, failed=True)
+    assert len(ejector.ejected()) == 4
--- a/tests/jujubebend/test_retry.py
+++ b/tests/jujubebend/test_retry.py
@@ -21,3 +21,15 @@
     waits = [backoff.draw() for _ in range(50)]
     assert max(waits) <= retry.LONGEST_WAIT
     assert min(waits) >= 0
+
+
+def test_a_budget_is_spent_to_the_last_whole_retry():
+    budget = retry.Budget()
+    allowed = sum(budget.allows() for _ in range(100))
+    assert allowed == retry.RESERVE
+    for _ in range(9):
+        budget.attempted()
+    assert not budget.allows()
+    for _ in range(2):
+        budget.attempted()
+    assert budget.allows()
