--- a/tests/fakecell.py
+++ b/tests/fakecell.py
@@ -155,6 +155,7 @@
     until: float = 0
     seen: int = 0
     started: list = attrs.field(factory=list)
+    ended_at: dict = attrs.field(factory=dict)
     clock_began: float = 0
     number: int = 0
 
@@ -226,7 +227,7 @@
         self.highest[task] = max(self.highest.get(task, 0), run)
         held = self.runs.get(task)
         if held is not None and held.order.run == run:
-            self._end(task, ports.Ending.STOPPED)
+            self._end(task, ports.Ending.STOPPED, clock.now())
         return ports.Verdict.ACCEPTED
 
     async def hold(self, token, seen, until, wait):
@@ -274,22 +275,21 @@
 
     def _settle(self):
         now = clock.now()
-        if self.clock() > self.until:
-            for task in list(self.runs):
-                self._end(task, ports.Ending.LAPSED)
-        if self.stands_still:
-            return
+        lapse = self.clock_began + self.until
         for task, held in list(self.runs.items()):
-            if now >= held.ends_at:
+            if held.ends_at <= min(now, lapse) and not self.stands_still:
                 how = ports.Ending.FAILED if self.fails else ports.Ending.DONE
-                self._end(task, how)
+                self._end(task, how, held.ends_at)
+            elif lapse < now:
+                self._end(task, ports.Ending.LAPSED, lapse)
 
-    def _end(self, task, how):
+    def _end(self, task, how, at):
         held = self.runs.pop(task)
         self.number += 1
         self.ends.append(
             ports.Ended(self.number, task, held.order.run, how, '')
         )
+        self.ended_at[task, held.order.run] = at
 
     async def _reach(self):
         await asyncio.sleep(LINK)
