--- a/properties/test_cluster.py
+++ b/properties/test_cluster.py
@@ -82,7 +82,7 @@
         await asyncio.sleep(self.chance.uniform(0.1, 2))
 
     async def new_leader(self):
-        if self.chance.random() < 0.5:
+        if self.chance.choice((True, False)):
             await self.cell.kill()
         self.epoch += 1
         while True:
--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -332,6 +332,24 @@
     celltest.play(scenario)
 
 
+def test_a_lasting_job_is_restarted_until_it_is_cancelled():
+    async def scenario(cell):
+        made = await cell.lead()
+        step = jobspec.Step(2, DEMAND, 1.0, lasting=True)
+        cell.submit(fakecell.job('j', step))
+        await celltest.until(lambda: len(celltest.runs_of(cell, 'j')) >= 8)
+        assert celltest.shown(made, 'j') == 'running'
+        cell.cancel('j')
+        await celltest.until(lambda: celltest.shown(made, 'j') == 'cancelled')
+        await asyncio.sleep(1)
+        count = len(celltest.runs_of(cell, 'j'))
+        await asyncio.sleep(5)
+        assert len(celltest.runs_of(cell, 'j')) == count
+
+    workers = [fakecell.Worker(name, fails=True) for name in ('w1', 'w2')]
+    celltest.play(scenario, *workers)
+
+
 def test_the_inbox_is_read_again_after_its_history_was_dropped():
     async def scenario(cell):
         made = await cell.lead()
