--- a/packages/jujubebend-cluster/src/jujubebend_cluster/advicedesk.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/advicedesk.py
@@ -103,7 +103,6 @@
         self.numbers.observe('advice', now - sent)
         until = now + policy.valid - TICKET_MARGIN
         tickets.asked.update(names)
-        tickets.asked_at = now
         for name, ticket in good.items():
             tickets.good[name] = (ticket, until)
         logs.decision(
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
@@ -76,7 +76,6 @@
     good: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     asked: set[str] = attrs.field(factory=set)
     asking: bool = False
-    asked_at: float = 0
 
     def may_help(self, worker: str, now: float) -> bool:
         """Say whether asking for the worker could bring a ticket."""
@@ -169,7 +168,7 @@
         if not job.is_ended:
             self.live[spec.job] = job
             if not spec.occurrences:
-                self._open(job, 0)
+                _open(job, 0)
         return job
 
     def add_ended(self, name: str, state: JobState) -> None:
@@ -184,7 +183,7 @@
             if unix < spec.first_due + occurrence * spec.interval:
                 break
             if (occurrence, 0) not in job.groups:
-                self._open(job, occurrence)
+                _open(job, occurrence)
         for group in job.groups.values():
             if group.ready_at is None and self._is_ready(group):
                 group.ready_at = now
@@ -300,22 +299,6 @@
             for before in group.step.after
         )
 
-    def _open(self, job: Job, occurrence: int) -> None:
-        for index, step in enumerate(job.spec.steps):
-            key = (occurrence, index)
-            if key in job.groups:
-                continue
-            group = Group(job, occurrence, index, step)
-            group.tasks = [
-                Task(
-                    jobspec.TaskName(job.spec.job, occurrence, index, number),
-                    group,
-                )
-                for number in range(step.tasks)
-            ]
-            job.groups[key] = group
-            _restore_group(group, job.restored)
-
 
 def encode_progress(job: Job) -> bytes:
     """Return a job's record: its state, and the tasks that were ever placed."""
@@ -356,13 +339,30 @@
     return any(row[0] == TaskState.PLACED.value for row in rows)
 
 
+def _open(job: Job, occurrence: int) -> None:
+    for index, step in enumerate(job.spec.steps):
+        key = (occurrence, index)
+        if key in job.groups:
+            continue
+        group = Group(job, occurrence, index, step)
+        group.tasks = [
+            Task(
+                jobspec.TaskName(job.spec.job, occurrence, index, number),
+                group,
+            )
+            for number in range(step.tasks)
+        ]
+        job.groups[key] = group
+        _restore_group(group, job.restored)
+
+
 def _restore(job: Job, plain: dict) -> None:
     job.state = JobState(plain['state'])
     job.shown = job.state
     job.restored = plain
     occurrences = {int(key.partition('.')[0]) for key in plain['tasks']}
     for occurrence in sorted(occurrences):
-        Book()._open(job, occurrence)
+        _open(job, occurrence)
 
 
 def _restore_task(task: Task, row: list) -> None:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/link.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/link.py
@@ -55,7 +55,6 @@
     orphaned_until: float
     calls: ports.WorkerCalls = attrs.field(init=False)
     seen: int = 0
-    holds: int = 0
     _lives: int = 0
     _cleared: bool = False
 
@@ -164,7 +163,6 @@
         # The first look brings the clock, and a stored end must be
         # acknowledged before the worker would wait for another.
         wait = HOLD_WAIT if self._cleared and worker.reached else 0
-        self.holds += 1
         try:
             answer = await self.calls.hold(worker.token, self.seen, until, wait)
         except errors.UnreachableError as exc:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/ports.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/ports.py
@@ -81,7 +81,6 @@
     capacity: jobspec.Demand
     labels: tuple[str, ...]
     rack: str
-    leaves_after: float = 0
 
 
 class Ending(enum.Enum):
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/records.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/records.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import attrs
 import cattrs
 import orjson
 
@@ -19,8 +18,3 @@
 def decode_job(body: bytes) -> jobspec.JobSpec:
     """Read what ``encode_job`` wrote."""
     return _CONVERTER.structure(orjson.loads(body), jobspec.JobSpec)
-
-
-def restamped(spec: jobspec.JobSpec, accepted_at: float) -> jobspec.JobSpec:
-    """Return the job with another moment of acceptance."""
-    return attrs.evolve(spec, accepted_at=accepted_at)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/term.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/term.py
@@ -59,10 +59,6 @@
             loading.cancel()
             await self._close()
 
-    async def _close(self) -> None:
-        await self.cell.close()
-        logs.belief('led', epoch=self.cell.epoch)
-
     def resign(self) -> None:
         """End the term at this host's own wish."""
         self.cell.end('this host stops')
@@ -83,6 +79,10 @@
             for job in self.cell.book.live.values()
         )
 
+    async def _close(self) -> None:
+        await self.cell.close()
+        logs.belief('led', epoch=self.cell.epoch)
+
     async def _load(self) -> None:
         inbox, revision = await self._insist(keys.INBOX)
         progress, _ = await self._insist(keys.PROGRESS)
