Pace fillers, serve waves of upkeep, read a job's progress once

- pacing: the pace of a worker's fillers follows what its serving tasks measure, down at once and up by steps; a lost order is sent again; a later leader paces what it finds.
Fillers are never judged to stand still.
- progress: the record is a type of its own, read once; the term's reading and sweeping stand in modules of their own.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/__main__.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/__main__.py
@@ -9,8 +9,16 @@
 import typer
 
 from jujubebend import errors
-from jujubebend_adapter import advice, callers, settings, store, text, workers
-from jujubebend_cluster import app, cell, logs, textfeed
+from jujubebend_adapter import (
+    advice,
+    callers,
+    machines,
+    settings,
+    store,
+    text,
+    workers,
+)
+from jujubebend_cluster import app, logs, surroundings, textfeed
 
 USAGE_EXIT = 2
 
@@ -20,13 +28,17 @@
 def build(cfg: settings.Settings) -> app.App:
     """Put a daemon together from its settings."""
     platform_store = store.Store(cfg.store)
-    texts = textfeed.TextFeed(platform_store, text.KEY, text.PREFIX, text.parse)
-    around = cell.Surroundings(
+    texts = textfeed.TextFeed(
+        platform_store, text.KEY, text.PREFIX, text.parse, machines.parse_wave
+    )
+    around = surroundings.Surroundings(
         store=platform_store,
         connect=workers.Worker,
         parse_worker=workers.parse_entry,
         workers_prefix=text.WORKERS_PREFIX,
         current_text=lambda: texts.text,
+        current_waves=lambda: tuple(texts.waves.values()),
+        machines=_machines(cfg),
         lease=cfg.hold_max,
         status_kept=cfg.status_kept,
     )
@@ -49,6 +61,12 @@
     )
 
 
+def _machines(cfg: settings.Settings) -> machines.Machines | None:
+    if not cfg.machines:
+        return None
+    return machines.Machines(cfg.machines, cfg.machine_turn_gap)
+
+
 async def serve(cfg: settings.Settings) -> None:
     """Run a daemon until it is asked to stop."""
     await build(cfg).run()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
@@ -9,7 +9,6 @@
 import attrs
 
 from jujubebend_cluster import (
-    cell,
     door,
     elector,
     leading,
@@ -18,6 +17,7 @@
     peercalls,
     peers,
     ports,
+    surroundings,
     textfeed,
 )
 from jujubebend_http import httpmessage, httpserver
@@ -47,7 +47,7 @@
 
     host: str
     addresses: Addresses
-    around: cell.Surroundings
+    around: surroundings.Surroundings
     texts: textfeed.TextFeed
     advisor: ports.Advisor | None
     form: door.CallerFormat
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
@@ -7,38 +7,9 @@
 
 from __future__ import annotations
 
-import enum
-from collections import abc
-
 import attrs
-import orjson
-
-from jujubebend_cluster import jobspec, ports
-
-
-class JobState(enum.Enum):
-    """What callers are told of a job."""
-
-    QUEUED = 'queued'
-    RUNNING = 'running'
-    COMPLETED = 'completed'
-    FAILED = 'failed'
-    CANCELLED = 'cancelled'
 
-
-ENDED_STATES = frozenset((
-    JobState.COMPLETED,
-    JobState.FAILED,
-    JobState.CANCELLED,
-))
-
-
-class TaskState(enum.Enum):
-    """Where a task stands; PLACED covers all from the order to its end."""
-
-    WAITING = 'waiting'
-    PLACED = 'placed'
-    DONE = 'done'
+from jujubebend_cluster import jobspec, ports, progress
 
 
 @attrs.define(eq=False)
@@ -46,12 +17,15 @@
     """One task and its latest run; ``run`` counts starts from one.
 
     ``answered_at`` is when a start or stop of this run was answered: a look
-    at the worker sent later than that must list the run.
+    at the worker sent later than that must list the run. ``tail`` is the
+    response time in seconds that a serving task measures; ``paced`` is the
+    percent that a filler was last told, None where that is not known;
+    ``rank`` that of its queue when the run was placed.
     """
 
     name: jobspec.TaskName
     group: Group
-    state: TaskState = TaskState.WAITING
+    state: progress.TaskState = progress.TaskState.WAITING
     run: int = 0
     worker: str = ''
     life: int = 0
@@ -63,6 +37,9 @@
     ordered: bool = False
     percent: int = 0
     moved_at: float = 0
+    tail: float = 0
+    paced: int | None = None
+    rank: int = 0
     failed_on: set[str] = attrs.field(factory=set)
 
 
@@ -115,11 +92,15 @@
 
     def waiting_tasks(self) -> list[Task]:
         """Return the tasks that have no run."""
-        return [one for one in self.tasks if one.state is TaskState.WAITING]
+        return [
+            one for one in self.tasks if one.state is progress.TaskState.WAITING
+        ]
 
     def placed_tasks(self) -> list[Task]:
         """Return the tasks that have a run."""
-        return [one for one in self.tasks if one.state is TaskState.PLACED]
+        return [
+            one for one in self.tasks if one.state is progress.TaskState.PLACED
+        ]
 
     def step_name(self) -> str:
         """Return the name by which advice knows the step."""
@@ -135,18 +116,17 @@
     """
 
     spec: jobspec.JobSpec
-    state: JobState = JobState.QUEUED
-    shown: JobState = JobState.QUEUED
+    state: progress.JobState = progress.JobState.QUEUED
+    shown: progress.JobState = progress.JobState.QUEUED
     begun: bool = False
     groups: dict[tuple[int, int], Group] = attrs.field(factory=dict)
     ended_at: float = 0
-    deadline: float = 0
-    restored: dict = attrs.field(factory=dict)
+    restored: progress.Progress | None = None
 
     @property
     def is_ended(self) -> bool:
         """Say whether nothing of the job will start again."""
-        return self.state in ENDED_STATES
+        return self.state in progress.ENDED_STATES
 
 
 @attrs.define(eq=False)
@@ -156,22 +136,24 @@
     jobs: dict[str, Job] = attrs.field(factory=dict)
     live: dict[str, Job] = attrs.field(factory=dict)
 
-    def add(self, spec: jobspec.JobSpec, progress: bytes | None = None) -> Job:
+    def add(
+        self, spec: jobspec.JobSpec, record: progress.Progress | None = None
+    ) -> Job:
         """Add a job, with the progress that an earlier leader recorded."""
         known = self.jobs.get(spec.job)
         if known is not None:
             return known
         job = Job(spec)
         self.jobs[spec.job] = job
-        if progress is not None:
-            _restore(job, orjson.loads(progress))
+        if record is not None:
+            _restore(job, record)
         if not job.is_ended:
             self.live[spec.job] = job
             if not spec.occurrences:
                 _open(job, 0)
         return job
 
-    def add_ended(self, name: str, state: JobState) -> None:
+    def add_ended(self, name: str, state: progress.JobState) -> None:
         """Add a job of which only its end is still of interest."""
         spec = jobspec.JobSpec(name, '', '', (), 0)
         self.jobs[name] = Job(spec, state, shown=state, begun=True)
@@ -198,7 +180,7 @@
 
     def place(self, task: Task, worker: str, life: int, run: int) -> None:
         """Give a task a new run on a worker."""
-        task.state = TaskState.PLACED
+        task.state = progress.TaskState.PLACED
         task.worker = worker
         task.life = life
         task.run = run
@@ -206,16 +188,18 @@
         task.stopping = False
         task.ordered = False
         task.percent = 0
+        task.tail = 0
+        task.paced = None
         group = task.group
         group.placed += 1
         if not group.job.is_ended:
-            group.job.state = JobState.RUNNING
+            group.job.state = progress.JobState.RUNNING
 
     def release(self, task: Task) -> None:
         """Take a task's run away: it has ended or can never begin."""
-        if task.state is not TaskState.PLACED:
+        if task.state is not progress.TaskState.PLACED:
             return
-        task.state = TaskState.WAITING
+        task.state = progress.TaskState.WAITING
         task.worker = ''
         task.stopping = False
         task.group.placed -= 1
@@ -229,7 +213,7 @@
         are done together.
         """
         group = task.group
-        if checkpoint and task.state is TaskState.PLACED:
+        if checkpoint and task.state is progress.TaskState.PLACED:
             self._keep_checkpoint(task, checkpoint)
         if ending is ports.Ending.DONE and not group.step.lasting:
             return self._done(task)
@@ -241,7 +225,7 @@
     def cancel(self, job: Job, now: float) -> None:
         """End a job at its caller's wish."""
         if not job.is_ended:
-            self._end(job, JobState.CANCELLED, now)
+            self._end(job, progress.JobState.CANCELLED, now)
 
     def settle(self, job: Job, now: float) -> None:
         """Complete the job if all its tasks are done."""
@@ -250,7 +234,7 @@
         if job.is_ended or len(job.groups) < wanted:
             return
         if all(group.is_done for group in job.groups.values()):
-            self._end(job, JobState.COMPLETED, now)
+            self._end(job, progress.JobState.COMPLETED, now)
 
     def forget(self, job: Job) -> None:
         """Drop an ended job for good."""
@@ -262,12 +246,12 @@
         together = group.tasks if group.step.gang else [task]
         released = []
         for one in together:
-            if one.state is TaskState.DONE:
+            if one.state is progress.TaskState.DONE:
                 continue
-            if one.state is TaskState.PLACED:
+            if one.state is progress.TaskState.PLACED:
                 group.placed -= 1
                 released.append(one)
-            one.state = TaskState.DONE
+            one.state = progress.TaskState.DONE
             group.done += 1
         return released
 
@@ -280,7 +264,7 @@
             task.failures += 1
             failures = task.failures
         if failures >= attempts and not group.job.is_ended:
-            self._end(group.job, JobState.FAILED, 0)
+            self._end(group.job, progress.JobState.FAILED, 0)
 
     def _keep_checkpoint(self, task: Task, checkpoint: str) -> None:
         task.checkpoint = checkpoint
@@ -288,7 +272,7 @@
             for one in task.group.tasks:
                 one.checkpoint = checkpoint
 
-    def _end(self, job: Job, state: JobState, now: float) -> None:
+    def _end(self, job: Job, state: progress.JobState, now: float) -> None:
         job.state = state
         job.ended_at = now
 
@@ -300,11 +284,11 @@
         )
 
 
-def encode_progress(job: Job) -> bytes:
+def progress_of(job: Job) -> progress.Progress:
     """Return a job's record: its state, and the tasks that were ever placed."""
     tasks = {
-        f'{group.occurrence}.{group.index}.{task.name.index}': (
-            task.state.value,
+        _key(group, task.name.index): progress.TaskProgress(
+            task.state,
             task.run,
             task.worker,
             task.life,
@@ -316,27 +300,15 @@
         if task.run
     }
     gangs = {
-        f'{group.occurrence}.{group.index}': group.failures
+        _key(group): group.failures
         for group in job.groups.values()
         if group.failures
     }
-    plain = {
-        'state': job.state.value,
-        'tasks': tasks,
-        'gangs': gangs,
-    }
-    return orjson.dumps(plain)
-
+    return progress.Progress(job.state, tasks, gangs)
 
-def recorded_state(progress: bytes) -> JobState:
-    """Return the state that a record tells."""
-    return JobState(orjson.loads(progress)['state'])
 
-
-def has_runs(progress: bytes) -> bool:
-    """Say whether a record tells of runs that have not ended."""
-    rows = orjson.loads(progress)['tasks'].values()
-    return any(row[0] == TaskState.PLACED.value for row in rows)
+def _key(group: Group, *index: int) -> str:
+    return '.'.join(map(str, (group.occurrence, group.index, *index)))
 
 
 def _open(job: Job, occurrence: int) -> None:
@@ -353,39 +325,34 @@
             for number in range(step.tasks)
         ]
         job.groups[key] = group
-        _restore_group(group, job.restored)
+        if job.restored is not None:
+            _restore_group(group, job.restored)
 
 
-def _restore(job: Job, plain: dict) -> None:
-    job.state = JobState(plain['state'])
+def _restore(job: Job, record: progress.Progress) -> None:
+    job.state = record.state
     job.shown = job.state
-    job.restored = plain
-    occurrences = {int(key.partition('.')[0]) for key in plain['tasks']}
-    for occurrence in sorted(occurrences):
+    job.restored = record
+    for occurrence in record.occurrences():
         _open(job, occurrence)
 
 
-def _restore_task(task: Task, row: list) -> None:
-    state, run, worker, *rest = row
-    life, failures, checkpoint = rest
-    task.state = TaskState(state)
-    task.run = run
-    task.worker = worker
-    task.life = life
-    task.failures = failures
-    task.checkpoint = checkpoint
-    task.ordered = True
-
-
-def _restore_group(group: Group, plain: abc.Mapping) -> None:
-    if not plain:
-        return
-    prefix = f'{group.occurrence}.{group.index}'
-    group.failures = plain['gangs'].get(prefix, 0)
+def _restore_group(group: Group, record: progress.Progress) -> None:
+    group.failures = record.gangs.get(_key(group), 0)
     for task in group.tasks:
-        row = plain['tasks'].get(f'{prefix}.{task.name.index}')
+        row = record.tasks.get(_key(group, task.name.index))
         if row is None:
             continue
         _restore_task(task, row)
-        group.placed += task.state is TaskState.PLACED
-        group.done += task.state is TaskState.DONE
+        group.placed += task.state is progress.TaskState.PLACED
+        group.done += task.state is progress.TaskState.DONE
+
+
+def _restore_task(task: Task, row: progress.TaskProgress) -> None:
+    task.state = row.state
+    task.run = row.run
+    task.worker = row.worker
+    task.life = row.life
+    task.failures = row.failures
+    task.checkpoint = row.checkpoint
+    task.ordered = True
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/cell.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/cell.py
@@ -18,7 +18,8 @@
     link,
     logs,
     measures,
-    ports,
+    progress,
+    surroundings,
 )
 
 HOLD_ON = 8.0  # seconds a leader cut off from the store keeps leases alive
@@ -30,34 +31,21 @@
     """A job's progress on its way to the store."""
 
     job: book.Job
-    state: book.JobState = book.JobState.QUEUED
+    state: progress.JobState = progress.JobState.QUEUED
 
     def encode(self) -> bytes:
         self.state = self.job.state
-        return book.encode_progress(self.job)
+        return book.progress_of(self.job).encode()
 
     def stored(self) -> None:
         self.job.shown = self.state
 
 
-@attrs.frozen
-class Surroundings:
-    """What a term works with; ``lease`` and ``status_kept`` in seconds."""
-
-    store: ports.Store
-    connect: abc.Callable[[str, str], ports.WorkerCalls]
-    parse_worker: abc.Callable[[str, bytes], ports.WorkerEntry | None]
-    workers_prefix: str
-    current_text: abc.Callable[[], jobspec.Text | None]
-    lease: float
-    status_kept: float
-
-
 @attrs.define(eq=False)
 class Cell:
     """The state of one term as leader."""
 
-    around: Surroundings
+    around: surroundings.Surroundings
     commits: committer.Committer
     desk: advicedesk.AdviceDesk
     numbers: measures.Measures = attrs.field(factory=measures.Measures)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
@@ -92,6 +92,7 @@
     _puts: dict[str, Entry] = attrs.field(factory=dict)
     _waiters: list[asyncio.Future] = attrs.field(factory=list)
     _under_way: list[asyncio.Future] = attrs.field(factory=list)
+    _writing: bool = False
     _wake: asyncio.Event = attrs.field(factory=asyncio.Event)
     deposed: bool = False
     store_lost: bool = False
@@ -107,7 +108,7 @@
         """Wait until everything put so far is stored."""
         if self.deposed:
             raise DeposedError('deposed')
-        if not self._puts and not self._under_way:
+        if not self._puts and not self._writing:
             return
         fut = asyncio.get_running_loop().create_future()
         if self._puts:
@@ -142,12 +143,11 @@
         self._wake.clear()
         puts = self._puts
         self._puts = {}
-        # A marker keeps the list non-empty: a flush without puts of its own
-        # waits for what is under way.
-        marker = asyncio.get_running_loop().create_future()
-        self._under_way = [marker, *self._waiters]
+        self._under_way = self._waiters
         self._waiters = []
+        self._writing = True
         await self._write(list(puts.items()))
+        self._writing = False
         for fut in self._under_way:
             if not fut.done():
                 fut.set_result(None)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/door.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/door.py
@@ -16,7 +16,6 @@
 from jujubebend import errors
 from jujubebend_cluster import (
     acceptance,
-    book,
     clock,
     elector,
     jobspec,
@@ -24,6 +23,7 @@
     logs,
     peers,
     ports,
+    progress,
     records,
     term,
 )
@@ -204,7 +204,7 @@
             return self.form.error_reply(http.HTTPStatus.GONE, 'no such job')
         return self.form.state_reply(state.value)
 
-    async def _state_by_leader(self, job: str) -> book.JobState | None:
+    async def _state_by_leader(self, job: str) -> progress.JobState | None:
         mine = self.current_term()
         if mine is not None and mine.speaks():
             return mine.state_of(job)
@@ -216,13 +216,13 @@
         except errors.JujubebendError:
             return None
 
-    async def _state_by_store(self, job: str) -> book.JobState | None:
+    async def _state_by_store(self, job: str) -> progress.JobState | None:
         told = await self.store.get(keys.progress(job))
         if told is not None and told.body is not None:
-            return book.recorded_state(told.body)
+            return progress.parse(told.body).state
         if await self.store.get(keys.job(job)) is None:
             return None
-        return book.JobState.QUEUED
+        return progress.JobState.QUEUED
 
     async def _count(self, call: _Call) -> httpmessage.Reply:
         mine = self.current_term()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
@@ -16,11 +16,16 @@
 FASTEST = 4.0  # times the declared pace; bounds what one run can teach
 SLOWEST = 0.1  # times the declared pace
 LARGEST_SUSPENDED_SHARE = 0.34  # of a service's workers at once
+NOTHING = jobspec.Demand()
 
 
 @attrs.define(eq=False)
 class Worker:
-    """One life of a worker."""
+    """One life of a worker.
+
+    ``filled_cpu`` is what its fillers would use, beside ``used_cpu``; they
+    run at ``pace`` percent, which was last changed at ``paced_at``.
+    """
 
     entry: ports.WorkerEntry
     listed: bool = True
@@ -28,6 +33,7 @@
     used_cpu: int = 0
     used_memory: int = 0
     used_accelerators: int = 0
+    filled_cpu: int = 0
     tasks: dict[jobspec.TaskName, book.Task] = attrs.field(factory=dict)
     token: int = 0
     clock: float = 0
@@ -41,6 +47,10 @@
     speed: float = 1
     refused_until: float = 0
     unreached_since: float | None = None
+    pace: int = 100
+    paced_at: float = 0
+    pacing: bool = False
+    cordoned: bool = False
 
     @property
     def name(self) -> str:
@@ -77,6 +87,7 @@
             and self.entry.state is ports.WorkerState.READY
             and now >= self.refused_until
             and now >= self.suspended_until
+            and not self.cordoned
         )
 
     def has_label(self, label: str) -> bool:
@@ -88,21 +99,33 @@
         return self.count_fitting(demand, 1, filler=filler) > 0
 
     def count_fitting(
-        self, demand: jobspec.Demand, most: int, *, filler: bool = False
+        self,
+        demand: jobspec.Demand,
+        most: int,
+        *,
+        filler: bool = False,
+        freed: jobspec.Demand = NOTHING,
     ) -> int:
-        """Return how many such tasks have room, ``most`` at the most."""
+        """Return how many more tasks of that size have room, up to ``most``.
+
+        A filler's processors are counted against those of other fillers
+        only. ``freed`` is counted as if it were free.
+        """
         room = self.entry.capacity
-        count = most
-        if demand.cpu_milli and not filler:
-            free = room.cpu_milli - self.used_cpu
-            count = min(count, free // demand.cpu_milli)
-        if demand.memory_mb:
-            free = room.memory_mb - self.used_memory
-            count = min(count, free // demand.memory_mb)
-        if demand.accelerators:
-            free = room.accelerators - self.used_accelerators
-            count = min(count, free // demand.accelerators)
-        return max(0, count)
+        used_cpu = self.filled_cpu if filler else self.used_cpu
+        rows = (
+            (demand.cpu_milli, room.cpu_milli + freed.cpu_milli - used_cpu),
+            (
+                demand.memory_mb,
+                room.memory_mb + freed.memory_mb - self.used_memory,
+            ),
+            (
+                demand.accelerators,
+                room.accelerators + freed.accelerators - self.used_accelerators,
+            ),
+        )
+        count = min((free // each for each, free in rows if each), default=most)
+        return max(0, min(count, most))
 
     def occupy(self, task: book.Task) -> None:
         """Count a task's demand against the room."""
@@ -141,7 +164,9 @@
 
     def _count(self, task: book.Task, sign: int) -> None:
         demand = task.group.step.demand
-        if not task.group.step.filler:
+        if task.group.step.filler:
+            self.filled_cpu += sign * demand.cpu_milli
+        else:
             self.used_cpu += sign * demand.cpu_milli
         self.used_memory += sign * demand.memory_mb
         self.used_accelerators += sign * demand.accelerators
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/housekeeping.py
@@ -0,0 +1,49 @@
+"""Runs at workers that are gone, and jobs that nobody asks for any more."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from jujubebend_cluster import book, cell, clock, committer, keys, roster
+
+FORGET_SLACK = 30.0  # seconds an ended job is kept beyond what callers need
+SWEEP_EVERY = 0.5  # seconds between looks at orphans and old jobs
+
+
+@attrs.define(eq=False)
+class Housekeeping:
+    """Sweeps the book every now and then."""
+
+    cell: cell.Cell
+    roster: roster.Roster
+
+    async def run(self) -> None:
+        """Sweep until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_EVERY)
+            if not self.cell.may_order():
+                self.cell.end('the store was away for too long')
+            self._sweep(clock.now())
+
+    def _sweep(self, now: float) -> None:
+        orphaned = now > self.cell.orphaned_until()
+        known = self.cell.book
+        for job in list(known.live.values()):
+            if orphaned:
+                self.roster.release_orphans(job)
+            placed = any(group.placed for group in job.groups.values())
+            if job.is_ended and not placed:
+                known.live.pop(job.spec.job)
+        kept = self.cell.around.status_kept + FORGET_SLACK
+        for job in list(known.jobs.values()):
+            ended_at = max(job.ended_at, self.cell.began)
+            if job.is_ended and now - ended_at > kept:
+                self._forget(job)
+
+    def _forget(self, job: book.Job) -> None:
+        name = job.spec.job
+        self.cell.book.forget(job)
+        for key in (keys.job(name), keys.cancel(name), keys.progress(name)):
+            self.cell.commits.put(key, committer.Deletion())
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/keys.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/keys.py
@@ -6,6 +6,7 @@
 JOBS = 'in/job/'
 CANCELS = 'in/cancel/'
 PROGRESS = 'at/'
+WAVES = 'wave/'
 
 
 def job(name: str) -> str:
@@ -21,3 +22,8 @@
 def progress(name: str) -> str:
     """Return the key of a job's progress."""
     return PROGRESS + name
+
+
+def wave(number: int) -> str:
+    """Return the key of a wave's progress."""
+    return f'{WAVES}{number}'
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/leading.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/leading.py
@@ -10,6 +10,7 @@
     committer,
     measures,
     ports,
+    surroundings,
     term,
 )
 
@@ -18,7 +19,7 @@
 class Leading:
     """Runs a term for each election that this host wins."""
 
-    around: cell.Surroundings
+    around: surroundings.Surroundings
     address: str
     advisor: ports.Advisor | None
     numbers: measures.Measures
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/link.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/link.py
@@ -10,7 +10,7 @@
 import attrs
 
 from jujubebend import errors
-from jujubebend_cluster import book, clock, fleet, logs, ports
+from jujubebend_cluster import book, clock, fleet, logs, ports, progress
 
 HOLD_WAIT = 1.0  # seconds that a hold waits for an end; the worker allows 2
 HOLD_PAUSE = 0.4  # seconds between holds while ends wait to be stored
@@ -55,6 +55,7 @@
     orphaned_until: float
     calls: ports.WorkerCalls = attrs.field(init=False)
     seen: int = 0
+    _former: list[ports.WorkerCalls] = attrs.field(factory=list)
     _lives: int = 0
     _cleared: bool = False
 
@@ -68,6 +69,8 @@
         """Hold the worker's leases and hear of ends until cancelled."""
         try:
             while True:
+                while self._former:
+                    await self._former.pop().close()
                 if not self.listener.may_order():
                     await asyncio.sleep(RETRY_PAUSE)
                     continue
@@ -82,6 +85,7 @@
             self._begin_life(entry.born, 'its entry tells of a new life')
         self.worker.entry = entry
         if entry.address != old.address:
+            self._former.append(self.calls)
             self.calls = self.connect(entry.worker, entry.address)
 
     async def start(self, task: book.Task, ticket: str) -> ports.Verdict | None:
@@ -90,7 +94,7 @@
         for _ in range(START_TRIES):
             now = clock.now()
             until = self.worker.lease_until(now, START_LIFE)
-            still = task.run == run and task.state is book.TaskState.PLACED
+            still = task.run == run and task.state is progress.TaskState.PLACED
             if until is None or not still or task.stopping:
                 return None
             order = ports.StartOrder(
@@ -105,12 +109,11 @@
             try:
                 return await self.calls.start(order)
             except errors.UnreachableError as exc:
-                logs.decision(
+                logs.run_decision(
                     'start_unanswered',
-                    job=task.name.job,
-                    task=task.name.label,
-                    run=run,
-                    worker=self.worker.name,
+                    task.name,
+                    run,
+                    self.worker.name,
                     why=str(exc),
                 )
         return None
@@ -120,7 +123,7 @@
         run, worker = task.run, self.worker
         while (
             task.run == run
-            and task.state is book.TaskState.PLACED
+            and task.state is progress.TaskState.PLACED
             and task.worker == worker.name
         ):
             if not self.listener.may_order():
@@ -138,17 +141,35 @@
                 task.answered_at = clock.now()
             return
 
+    async def pace(self, task: book.Task, percent: int) -> None:
+        """Order a pace; one that is not accepted is ordered again later."""
+        run = task.run
+        try:
+            verdict = await self.calls.pace(
+                task.name, run, percent, self.worker.token
+            )
+        except errors.UnreachableError as exc:
+            logs.run_decision(
+                'pace_unanswered',
+                task.name,
+                run,
+                self.worker.name,
+                why=str(exc),
+            )
+            return
+        if verdict is ports.Verdict.ACCEPTED and task.run == run:
+            task.paced = percent
+
     async def drop(self, running: ports.Running) -> None:
         """Stop a run that the book does not know."""
         try:
             await self.calls.stop(running.task, running.run, self.worker.token)
         except errors.UnreachableError as exc:
-            logs.decision(
+            logs.run_decision(
                 'stop_unanswered',
-                job=running.task.job,
-                task=running.task.label,
-                run=running.run,
-                worker=self.worker.name,
+                running.task,
+                running.run,
+                self.worker.name,
                 why=str(exc),
             )
 
@@ -187,6 +208,7 @@
         last = max((end.number for end in look.ended), default=self.seen)
         life = worker.entry.born
         stored = asyncio.ensure_future(self.listener.looked(worker, look, sent))
+        stored.add_done_callback(_log_failure)
         done, _ = await asyncio.wait({stored}, timeout=HOLD_PAUSE)
         self._cleared = bool(done) and stored.result()
         if self._cleared and worker.entry.born == life:
@@ -245,3 +267,12 @@
         # were meant for the former life out once it has been looked at.
         lives = min(self._lives, TOKENS_PER_EPOCH - 1)
         self.worker.token = self.epoch * TOKENS_PER_EPOCH + lives
+
+
+def _log_failure(stored: asyncio.Future) -> None:
+    if stored.cancelled():
+        return
+    exc = stored.exception()
+    # A deposed leader hears of it from its committer as well.
+    if exc is not None and not isinstance(exc, errors.FencedError):
+        logs.lifecycle('error', what=repr(exc))
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/logs.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/logs.py
@@ -13,7 +13,7 @@
 import eliot
 import orjson
 
-from jujubebend_cluster import clock
+from jujubebend_cluster import clock, jobspec
 
 LINES_PER_SECOND = 400  # beyond this, decisions are counted, not written
 LONGEST_BACKLOG = 2_000  # lines kept for a reader that is slow
@@ -116,6 +116,24 @@
     eliot.log_message(event, **fields)
 
 
+def run_decision(
+    event: str,
+    task: jobspec.TaskName,
+    run: int,
+    worker: str,
+    **fields: object,
+) -> None:
+    """Log a decision on one run of a task."""
+    decision(
+        event,
+        job=task.job,
+        task=task.label,
+        run=run,
+        worker=worker,
+        **fields,
+    )
+
+
 def belief(what: str, **fields: object) -> None:
     """Log a change of what this process believes."""
     eliot.log_message('belief', belief=what, **fields)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
@@ -9,7 +9,7 @@
 import orjson
 
 from jujubebend import errors
-from jujubebend_cluster import book
+from jujubebend_cluster import progress
 from jujubebend_http import httpclient, httpmessage
 
 CALL_TIMEOUT = 0.5  # seconds; a usual answer takes 3 ms
@@ -51,11 +51,11 @@
         )
         return Greeting(plain['epoch'], plain['speaks'], plain['silence'])
 
-    async def state(self, address: str, job: str) -> book.JobState | None:
+    async def state(self, address: str, job: str) -> progress.JobState | None:
         """Ask the leader for a job's state; None where it knows no such."""
         plain = await self._call(address, 'state', {'job': job})
         state = plain['state']
-        return book.JobState(state) if state else None
+        return progress.JobState(state) if state else None
 
     async def count(self, address: str, queue: str) -> int:
         """Ask the leader how many of a queue's jobs have not begun."""
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/ports.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/ports.py
@@ -96,7 +96,11 @@
 
 @attrs.frozen
 class Running:
-    """A run that a worker lists as present."""
+    """A run that a worker lists as present.
+
+    ``usage`` is a figure of the last half second: for a serving task the
+    tail of its response times, in seconds; for any other, cores in use.
+    """
 
     task: jobspec.TaskName
     run: int
@@ -166,6 +170,12 @@
         """Order a stop; also refuses that run for good if not there yet."""
         ...
 
+    async def pace(
+        self, task: jobspec.TaskName, run: int, percent: int, token: int
+    ) -> Verdict:
+        """Let a run work at that share of its speed from now on."""
+        ...
+
     async def hold(
         self, token: int, seen: int, until: float | None, wait: float
     ) -> Look | Verdict:
@@ -177,6 +187,59 @@
         ...
 
 
+class MachineState(enum.Enum):
+    """What a machine does; only one that is up can be taken down."""
+
+    UP = 'up'
+    MOVING = 'moving'
+    UPKEEP = 'upkeep'
+    DOWN = 'down'
+
+
+@attrs.frozen
+class Machine:
+    """A machine; ``worker`` is the ID of its present life."""
+
+    name: str
+    state: MachineState
+    worker: str
+
+
+class UpkeepVerdict(enum.Enum):
+    """What the platform said to an order for upkeep.
+
+    NOT_ITS: the machine is gone, or the wave does not name it.
+    """
+
+    BEGUN = 'begun'
+    FENCED = 'fenced'
+    BUSY = 'busy'
+    NOT_ITS = 'not_its'
+
+
+class Machines(Protocol):
+    """The calls on machines; ``turn_gap`` in seconds.
+
+    Orders of two leaders for one machine must lie ``turn_gap`` apart.
+    """
+
+    turn_gap: float
+
+    async def list(self) -> list[Machine]:
+        """Return every machine."""
+        ...
+
+    async def begin_upkeep(
+        self, machine: str, wave: int, host: str, fence: int
+    ) -> UpkeepVerdict:
+        """Take a machine down; whatever runs on it is lost at once."""
+        ...
+
+    def status(self, wave: int, *, completed: bool) -> tuple[str, bytes]:
+        """Return the key and the body that tell operators of a wave."""
+        ...
+
+
 class Advisor(Protocol):
     """The service that knows which workers may run a step."""
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/reports.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/reports.py
@@ -13,7 +13,9 @@
     link,
     logs,
     orders,
+    pacing,
     ports,
+    progress,
 )
 
 STALL_LIMIT = 3.0  # seconds without progress after which a run stands still
@@ -26,6 +28,7 @@
 
     cell: cell.Cell
     orders: orders.Orders
+    pacer: pacing.Pacer
 
     def may_order(self) -> bool:
         """Say whether this leader may still give orders to workers."""
@@ -41,6 +44,7 @@
         for end in look.ended:
             self._take_end(worker, end)
         self._take_running(worker, look, sent)
+        self.pacer.looked(worker)
         self.cell.wake.set()
         await self.cell.commits.flush()
         return True
@@ -68,13 +72,12 @@
         group = task.group
         job = group.job
         job.begun = True
-        logs.decision(
+        logs.run_decision(
             'ended',
-            job=end.task.job,
-            task=end.task.label,
-            run=end.run,
+            end.task,
+            end.run,
+            worker.name,
             how=end.ending.value,
-            worker=worker.name,
             number=end.number,
             seconds=round(now - task.placed_at, 3),
         )
@@ -109,9 +112,10 @@
     ) -> None:
         if ending is ports.Ending.DONE:
             worker.succeeded()
-            whole = not task.checkpoint and not task.group.step.gang
+            step = task.group.step
+            whole = not (task.checkpoint or step.gang or step.filler)
             if whole and task.placed_at:
-                worker.ran(task.group.step.estimate, now - task.placed_at)
+                worker.ran(step.estimate, now - task.placed_at)
         elif ending is ports.Ending.FAILED:
             # A task that fails everywhere says nothing of its workers.
             blames = not task.failed_on
@@ -149,16 +153,15 @@
 
     def _take_stray(self, worker: fleet.Worker, row: ports.Running) -> None:
         known = self.cell.book.find(row.task)
-        if known is not None and known.state is book.TaskState.DONE:
+        if known is not None and known.state is progress.TaskState.DONE:
             # Another member's end stood for its gang: this one ends too.
             return
         worker.refused_until = clock.now() + link.HOLD_WAIT
-        logs.decision(
+        logs.run_decision(
             'stray_stopped',
-            job=row.task.job,
-            task=row.task.label,
-            run=row.run,
-            worker=worker.name,
+            row.task,
+            row.run,
+            worker.name,
         )
         self.cell.spawn(self.cell.links[worker.name].drop(row))
 
@@ -172,13 +175,17 @@
         task.group.job.begun = True
         if row.checkpoint:
             task.checkpoint = row.checkpoint
+        if task.group.step.latency_target:
+            task.tail = row.usage
         if row.percent != task.percent:
             task.percent = row.percent
             task.moved_at = now
         stalled = now - task.moved_at > STALL_LIMIT
         # The figure is of the declared work: a task that takes longer than
         # it declared stays at its most, and is no sign of a fault.
-        judged = row.percent < WHOLE and not task.group.step.lasting
+        # Fillers stand still wherever others leave them nothing.
+        step = task.group.step
+        judged = row.percent < WHOLE and not (step.lasting or step.filler)
         if stalled and judged and not task.stopping:
             self._suspend(worker, 'its tasks stand still')
             self.orders.stop(task, 'it stands still')
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/textfeed.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/textfeed.py
@@ -1,4 +1,4 @@
-"""Follows the operators' text; versions only go up."""
+"""Follows what operators write: the text, whose version rises, and waves."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 import attrs
 
-from jujubebend_cluster import feed, jobspec, logs, ports
+from jujubebend_cluster import feed, jobspec, logs, ports, waves
 
 
 @attrs.define(eq=False)
@@ -17,7 +17,9 @@
     key: str
     prefix: str
     parse: abc.Callable[[bytes], jobspec.Text]
+    parse_wave: abc.Callable[[str, bytes], waves.Wave | None]
     text: jobspec.Text | None = None
+    waves: dict[str, waves.Wave] = attrs.field(factory=dict)
     _feed: feed.Feed = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -33,13 +35,26 @@
         return self._feed.healthy_since is not None
 
     def _take(self, key: str, item: ports.Item | None) -> None:
-        if key != self.key or item is None or item.body is None:
-            return
+        body = item.body if item else None
         try:
-            text = self.parse(item.body)
+            if key == self.key:
+                self._take_text(body)
+            else:
+                self._take_wave(key, body)
         except (ValueError, KeyError, TypeError) as exc:
             logs.lifecycle('error', what=f'{key}: {exc!r}')
+
+    def _take_wave(self, key: str, body: bytes | None) -> None:
+        wave = self.parse_wave(key, body) if body else None
+        if wave is None:
+            self.waves.pop(key, None)
+        else:
+            self.waves[key] = wave
+
+    def _take_text(self, body: bytes | None) -> None:
+        if body is None:
             return
+        text = self.parse(body)
         if self.text is None or text.version > self.text.version:
             self.text = text
             logs.belief('text', version=text.version, queues=len(text.queues))
--- a/packages/jujubebend-standin/src/jujubebend_standin/fleet/worker.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/fleet/worker.py
@@ -31,6 +31,7 @@
     ended: float | None = None
     how: str = ''
     noted: bool = False
+    pace: int = 100
 
     def end(self, now: float, how: str) -> None:
         """Note the run's end."""
@@ -87,6 +88,8 @@
                 return await self._start(plain)
             case 'run-stop':
                 return self._stop(plain)
+            case 'pace':
+                return self._pace(plain)
             case 'hold':
                 return await self._hold(plain)
         return self._reply(http.HTTPStatus.NOT_FOUND)
@@ -142,6 +145,13 @@
             self._end(held, 'stopped', time.monotonic())
         return self._reply(http.HTTPStatus.OK)
 
+    def _pace(self, plain: dict) -> httpmessage.Reply:
+        held = self.present.get(plain['task'])
+        if held is None or held.run != plain['run']:
+            return self._reply(http.HTTPStatus.BAD_REQUEST)
+        held.pace = plain['percent']
+        return self._reply(http.HTTPStatus.OK)
+
     async def _hold(self, plain: dict) -> httpmessage.Reply:
         if self.clock() > self.until:
             # Ends from before a lapse stand for nothing: their tasks may
--- a/tests/cluster/celltest.py
+++ b/tests/cluster/celltest.py
@@ -12,6 +12,7 @@
     keys,
     ports,
     records,
+    surroundings,
     term,
 )
 from tests import fakecell, virtualtime
@@ -31,6 +32,8 @@
         )
         for one in workers:
             self.list_worker(one)
+        self.waves = ()
+        self.machines = None
         self.tasks = []
 
     def list_worker(self, worker, state=ports.WorkerState.READY):
@@ -48,12 +51,14 @@
         self.store.put(keys.cancel(name), b'1')
 
     def around(self):
-        return cell.Surroundings(
+        return surroundings.Surroundings(
             store=self.store,
             connect=lambda name, address: self.workers[name],
             parse_worker=self._parse,
             workers_prefix='servers/',
             current_text=lambda: self.text,
+            current_waves=lambda: self.waves,
+            machines=self.machines,
             lease=6.0,
             status_kept=120.0,
         )
--- a/tests/cluster/test_app.py
+++ b/tests/cluster/test_app.py
@@ -5,23 +5,33 @@
 import asyncio
 
 from jujubebend_adapter import callers
-from jujubebend_cluster import app, cell, jobspec, textfeed
+from jujubebend_cluster import app, jobspec, surroundings, textfeed
 from jujubebend_http import httpmessage
 from tests import fakecell, virtualtime
 
 READY = '/ready'
 
 
+def _no_wave(key, body):
+    """Find no wave."""
+
+
 def _app(store):
     texts = textfeed.TextFeed(
-        store, 'op/config', 'op/', lambda body: jobspec.Text(int(body))
+        store,
+        'op/config',
+        'op/',
+        lambda body: jobspec.Text(int(body)),
+        _no_wave,
     )
-    around = cell.Surroundings(
+    around = surroundings.Surroundings(
         store=store,
         connect=None,
         parse_worker=None,
         workers_prefix='servers/',
         current_text=lambda: texts.text,
+        current_waves=tuple,
+        machines=None,
         lease=6.0,
         status_kept=120.0,
     )
--- /dev/null
+++ b/tests/cluster/test_pacing.py
@@ -0,0 +1,141 @@
+"""Fillers beside serving tasks: where they go and how fast they run."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+
+import attrs
+
+from jujubebend_cluster import book, fleet, jobspec, pacing
+from tests import fakecell
+from tests.cluster import celltest
+
+TARGET = 0.2
+CORES = jobspec.Demand(4000, 100)
+SERVING = jobspec.Step(1, CORES, 1.0, lasting=True, latency_target=TARGET)
+FILLER = jobspec.Step(1, CORES, 20.0, filler=True)
+
+
+def _pace_of(worker, name):
+    paces = [
+        percent for task, percent in worker.paces.items() if task.job == name
+    ]
+    return paces[-1] if paces else 100
+
+
+def _disturbed(worker):
+    """Return a tail that only fillers at over a quarter push too high."""
+    fills = any(task.job == 'fill' for task in worker.runs)
+    return 0.05 + 0.01 * _pace_of(worker, 'fill') * fills
+
+
+async def _begin(cell, *specs):
+    await cell.lead()
+    for spec in specs:
+        cell.submit(spec)
+        await celltest.until(
+            functools.partial(celltest.runs_of, cell, spec.job)
+        )
+
+
+def _serving_and_filler():
+    return fakecell.job('serve', SERVING), fakecell.job('fill', FILLER)
+
+
+def test_a_filler_is_slowed_until_the_serving_task_meets_its_target():
+    worker = fakecell.Worker('w1', seconds=60, tail=_disturbed)
+
+    async def scenario(cell):
+        await _begin(cell, *_serving_and_filler())
+        await asyncio.sleep(3)
+        assert _disturbed(worker) < TARGET
+        # The pace rises again, and never so far that the target is missed
+        # for as long as the users bear it.
+        missed = 0
+        for _ in range(200):
+            await asyncio.sleep(0.1)
+            missed = missed + 1 if _disturbed(worker) > TARGET else 0
+            assert missed < 35
+
+    celltest.play(scenario, worker)
+
+
+def test_a_filler_runs_whole_again_once_nothing_serves_beside_it():
+    worker = fakecell.Worker('w1', seconds=60, tail=_disturbed)
+
+    async def scenario(cell):
+        await _begin(cell, *_serving_and_filler())
+        await celltest.until(lambda: _pace_of(worker, 'fill') < 100)
+        cell.cancel('serve')
+        await celltest.until(lambda: _pace_of(worker, 'fill') == 100)
+
+    celltest.play(scenario, worker)
+
+
+def test_a_pace_whose_answer_was_lost_is_ordered_again():
+    worker = fakecell.Worker('w1', seconds=60, tail=_disturbed, lose_paces=2)
+
+    async def scenario(cell):
+        await _begin(cell, *_serving_and_filler())
+        await celltest.until(lambda: _disturbed(worker) < TARGET)
+
+    celltest.play(scenario, worker)
+
+
+def test_a_later_leader_paces_what_it_finds():
+    worker = fakecell.Worker('w1', seconds=60, tail=_disturbed)
+
+    async def scenario(cell):
+        await _begin(cell, *_serving_and_filler())
+        await celltest.until(lambda: _disturbed(worker) < TARGET)
+        await cell.kill()
+        worker.paces.clear()
+        await cell.lead(2)
+        await celltest.until(lambda: _disturbed(worker) < TARGET)
+
+    celltest.play(scenario, worker)
+
+
+def test_a_filler_prefers_a_worker_where_nothing_serves():
+    workers = [fakecell.Worker(f'w{at}', seconds=60) for at in range(3)]
+
+    async def scenario(cell):
+        await _begin(cell, *_serving_and_filler())
+        (serving, *_), (filling, *_) = (
+            celltest.runs_of(cell, name)[0] for name in ('serve', 'fill')
+        )
+        assert serving != filling
+
+    celltest.play(scenario, *workers)
+
+
+def test_a_filler_that_gets_nothing_is_not_taken_to_stand_still():
+    worker = fakecell.Worker('w1', seconds=60, stands_still=True)
+
+    async def scenario(cell):
+        await _begin(cell, fakecell.job('fill', FILLER))
+        await asyncio.sleep(8)
+        assert len(celltest.runs_of(cell, 'fill')) == 1
+
+    celltest.play(scenario, worker)
+
+
+def test_fillers_use_no_more_than_a_whole_worker():
+    worker = fleet.Worker(fakecell.Worker('w1', cpu_milli=8_000).entry())
+    filler = attrs.evolve(FILLER, tasks=3)
+    group = book.Book().add(fakecell.job('fill', filler)).groups[0, 0]
+    worker.occupy(group.tasks[0])
+    assert worker.used_cpu == 0
+    assert worker.count_fitting(CORES, 3, filler=True) == 1
+    assert worker.count_fitting(CORES, 3) == 2
+
+
+def test_strain_is_that_of_the_worst_serving_task():
+    steps = (SERVING, attrs.evolve(SERVING, latency_target=TARGET * 2), FILLER)
+    groups = book.Book().add(fakecell.job('j', *steps)).groups.values()
+    tasks = [group.tasks[0] for group in groups]
+    assert pacing.strain(tasks[-1:]) is None
+    for task in tasks:
+        task.tail = TARGET / 2
+    assert round(pacing.strain(tasks) * 4) == 2
--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from jujubebend_cluster import jobspec, keys, ports, term
+from jujubebend_cluster import inbox, jobspec, keys, ports
 from tests import fakecell
 from tests.cluster import celltest
 
@@ -85,7 +85,7 @@
         with mock.patch.object(asyncio, 'sleep', wraps=asyncio.sleep) as sleep:
             await celltest.until(lambda: second.loaded)
         yields = sum(call.args == (0,) for call in sleep.call_args_list)
-        assert yields >= 300 / term.LOAD_SLICE
+        assert yields >= 300 / inbox.LOAD_SLICE
 
     celltest.play(scenario)
 
--- a/tests/fakecell.py
+++ b/tests/fakecell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import typing
 
 import attrs
 
@@ -158,6 +159,9 @@
     ended_at: dict = attrs.field(factory=dict)
     clock_began: float = 0
     number: int = 0
+    paces: dict = attrs.field(factory=dict)
+    lose_paces: int = 0
+    tail: typing.Callable = lambda worker: 0
 
     def entry(self, state=ports.WorkerState.READY):
         return ports.WorkerEntry(
@@ -230,6 +234,17 @@
             self._end(task, ports.Ending.STOPPED, clock.now())
         return ports.Verdict.ACCEPTED
 
+    async def pace(self, task, run, percent, token):
+        await self._reach()
+        if self.lose_paces:
+            self.lose_paces -= 1
+            raise errors.UnreachableError('no answer')
+        held = self.runs.get(task)
+        if held is None or held.order.run != run:
+            return ports.Verdict.INVALID
+        self.paces[task] = percent
+        return ports.Verdict.ACCEPTED
+
     async def hold(self, token, seen, until, wait):
         await self._reach()
         if token < self.token:
@@ -260,7 +275,7 @@
                 held.order.run,
                 '',
                 self._percent(held, now),
-                1,
+                self.tail(self),
             )
             for task, held in self.runs.items()
         )
