Let saved work give way to higher ranks, and late work to work in time

- eviction: a group that found no room for 0.25 s has checkpointing tasks of lower rank stopped, no more than it needs, and only if it then fits.
- seats: where tasks fit, parted from what goes first (planner).
- urgency: within a rank, what can still meet its objective goes first.
- a gang asks for advice until it could choose among four times its seats.

Kept: a tenth of fast workers.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/advicedesk.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/advicedesk.py
@@ -116,9 +116,16 @@
         )
 
     def candidates(
-        self, group: book.Group, usable: abc.Sequence[fleet.Worker], now: float
+        self,
+        group: book.Group,
+        usable: abc.Sequence[fleet.Worker],
+        now: float,
+        about: abc.Set[str],
     ) -> list[fleet.Worker]:
-        """Return the workers worth naming: with room first, never refused."""
+        """Return the workers worth naming: with room first, never refused.
+
+        Those in ``about`` are what the group waits for; they go before all.
+        """
         tickets = group.tickets
         step = group.step
         worth = [
@@ -127,8 +134,14 @@
             if tickets.may_help(worker.name, now)
             and worker.has_label(step.required_label)
         ]
-        roomy = [worker for worker in worth if worker.fits(step.demand)]
+        roomy = [
+            worker
+            for worker in worth
+            if worker.name in about or worker.fits(step.demand)
+        ]
         if tickets.asked and roomy:
             worth = roomy
-        worth.sort(key=lambda worker: worker.used_cpu)
+        worth.sort(
+            key=lambda worker: (worker.name not in about, worker.used_cpu)
+        )
         return worth[:MOST_WORKERS]
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/orders.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/orders.py
@@ -13,8 +13,9 @@
     fleet,
     link,
     logs,
-    planner,
     ports,
+    progress,
+    seats,
 )
 
 
@@ -24,22 +25,21 @@
 
     cell: cell.Cell
 
-    async def start_all(self, placements: list[planner.Placement]) -> None:
+    async def start_all(self, placements: list[seats.Placement]) -> None:
         """Start tasks once their placement is stored."""
         await self.cell.commits.flush()
         await asyncio.gather(*(self._start(one) for one in placements))
 
     def stop(self, task: book.Task, why: str) -> None:
         """Stop a task's run; its end will be listed by its worker."""
-        if task.state is not book.TaskState.PLACED or task.stopping:
+        if task.state is not progress.TaskState.PLACED or task.stopping:
             return
         task.stopping = True
-        logs.decision(
+        logs.run_decision(
             'stop',
-            job=task.name.job,
-            task=task.name.label,
-            run=task.run,
-            worker=task.worker,
+            task.name,
+            task.run,
+            task.worker,
             percent=task.percent,
             why=why,
         )
@@ -61,22 +61,21 @@
         """Take a run away that is surely over or can never begin."""
         worker.vacate(task)
         self.cell.book.release(task)
-        logs.decision(
+        logs.run_decision(
             'released',
-            job=task.name.job,
-            task=task.name.label,
-            run=task.run,
-            worker=worker.name,
+            task.name,
+            task.run,
+            worker.name,
             why=why,
         )
         if task.group.step.gang:
             self.withdraw_group(task.group)
         self.cell.save(task.group.job)
 
-    async def _start(self, placement: planner.Placement) -> None:
+    async def _start(self, placement: seats.Placement) -> None:
         task, worker = placement.task, placement.worker
         run = task.run
-        if task.state is not book.TaskState.PLACED:
+        if task.state is not progress.TaskState.PLACED:
             return
         if task.stopping:
             self.release(worker, task, 'withdrawn before its start')
@@ -89,7 +88,7 @@
         ready = task.group.ready_at or clock.now()
         self.cell.numbers.observe('start_wait', clock.now() - ready)
         verdict = await made.start(task, placement.ticket)
-        if task.run != run or task.state is not book.TaskState.PLACED:
+        if task.run != run or task.state is not progress.TaskState.PLACED:
             return
         outcome = verdict.value if verdict else 'unknown'
         self.cell.numbers.count('starts', outcome=outcome)
@@ -129,12 +128,11 @@
 
 def _log_start(task: book.Task, worker: fleet.Worker, outcome: str) -> None:
     age = clock.now() - (worker.clock_read or 0)
-    logs.decision(
+    logs.run_decision(
         'start',
-        job=task.name.job,
-        task=task.name.label,
-        run=task.run,
-        worker=worker.name,
+        task.name,
+        task.run,
+        worker.name,
         token=worker.token,
         report_age=round(age, 3),
         free_cpu=worker.entry.capacity.cpu_milli - worker.used_cpu,
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
@@ -16,6 +16,7 @@
     jobspec,
     orders,
     planner,
+    seats,
 )
 
 PASS_GAP = 0.012  # seconds between two planning passes
@@ -44,12 +45,14 @@
         now = clock.now()
         ready = self._ready_groups(now, clock.unix())
         made = planner.plan(ready, self.cell.workers, now)
-        for group in made.unadvised:
-            self._ask_advice(group, now)
+        for question in made.questions:
+            self._ask_advice(question, now)
+        for task in made.evicted:
+            self.orders.stop(task, 'work of higher rank needs its room')
         if made.placements:
             self._place(made.placements, now)
 
-    def _place(self, placements: list[planner.Placement], now: float) -> None:
+    def _place(self, placements: list[seats.Placement], now: float) -> None:
         runs = _next_runs(placements)
         for placement in placements:
             task, worker = placement.task, placement.worker
@@ -58,13 +61,11 @@
             )
             task.placed_at = now
             task.moved_at = now
-            worker.occupy(task)
+            task.rank = placement.rank
             self.cell.save(task.group.job)
         self.cell.spawn(self.orders.start_all(placements))
 
-    def _ready_groups(
-        self, now: float, unix: float
-    ) -> list[tuple[jobspec.Queue, book.Group]]:
+    def _ready_groups(self, now: float, unix: float) -> list[seats.Want]:
         ready = []
         for job in self.cell.book.live.values():
             queue = self.cell.queue_of(job)
@@ -74,23 +75,25 @@
             for group in job.groups.values():
                 if group.ready_at is not None and group.waiting:
                     key = planner.urgency(queue, group, unix)
-                    ready.append((key, len(ready), queue, group))
+                    want = seats.Want(queue, group, bool(key[0]))
+                    ready.append((key, len(ready), want))
         ready.sort()
-        return [(queue, group) for _, _, queue, group in ready]
+        return [want for _, _, want in ready]
 
-    def _ask_advice(self, group: book.Group, now: float) -> None:
+    def _ask_advice(self, question: planner.Question, now: float) -> None:
+        group = question.group
         queue = self.cell.queue_of(group.job)
         if queue is None or queue.advice is None or group.tickets.asking:
             return
         usable = self.cell.workers.usable(queue.service, now)
-        named = self.cell.desk.candidates(group, usable, now)
+        named = self.cell.desk.candidates(group, usable, now, question.about)
         if not named:
             return
         caller = self.cell.desk.choose(
             queue.advice,
             len(named),
             now,
-            patient=planner.is_patient(queue),
+            patient=seats.is_patient(queue),
         )
         if caller is None:
             return
@@ -109,7 +112,7 @@
 
 
 def _next_runs(
-    placements: list[planner.Placement],
+    placements: list[seats.Placement],
 ) -> dict[jobspec.TaskName, int]:
     """Return the number of each task's next run, one for a whole gang."""
     runs: dict[jobspec.TaskName, int] = {}
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/seats.py
@@ -0,0 +1,208 @@
+"""Where the tasks of a group fit, among the workers of one service."""
+
+from __future__ import annotations
+
+import functools
+import itertools
+from collections import abc
+
+import attrs
+
+from jujubebend_cluster import book, fleet, jobspec, progress
+
+PACKING_WEIGHT = 0.3  # of a worker's fill against its relative speed
+PATIENT_SLACK = 2.0  # times the work; slow workers take about 1.5 times
+FAST_FACTOR = 1.15  # times the mean pace of a service's workers
+KEPT_FREE = 0.1  # of a fast worker's processors, for work that needs it
+
+
+@attrs.frozen
+class Want:
+    """A group that is ready, and the queue that it came through.
+
+    One that is too late to be of worth makes no other work give way.
+    """
+
+    queue: jobspec.Queue
+    group: book.Group
+    is_worthless: bool = False
+
+    @property
+    def step(self) -> jobspec.Step:
+        """Return the group's step."""
+        return self.group.step
+
+    @property
+    def is_patient(self) -> bool:
+        """Say whether the objective allows for a slow worker."""
+        return is_patient(self.queue)
+
+
+@attrs.frozen
+class Placement:
+    """One task and the worker that it shall run on."""
+
+    task: book.Task
+    worker: fleet.Worker
+    ticket: str = ''
+    rank: int = 0
+
+
+@attrs.define(eq=False)
+class Seats:
+    """The room of one service during one planning pass.
+
+    ``reserved`` maps a worker to the lowest rank that may still use it.
+    """
+
+    workers: abc.Sequence[fleet.Worker]
+    now: float
+    reserved: dict[str, int] = attrs.field(factory=dict)
+    taken: list[Placement] = attrs.field(factory=list)
+    _fast: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Learn the pace from which a worker counts as a fast one."""
+        total = sum(worker.speed for worker in self.workers)
+        self._fast = FAST_FACTOR * total / max(1, len(self.workers))
+
+    def allowed(self, want: Want) -> list[fleet.Worker]:
+        """Return the workers that the group's step and rank admit."""
+        rank = want.queue.rank
+        return [
+            worker
+            for worker in self.workers
+            if worker.has_label(want.step.required_label)
+            and self.reserved.get(worker.name, rank) >= rank
+        ]
+
+    def ticketed(
+        self, want: Want, allowed: list[fleet.Worker]
+    ) -> list[fleet.Worker]:
+        """Return those of the workers that the group may be started on now."""
+        if want.queue.advice is None:
+            return allowed
+        tickets = want.group.tickets
+        return [
+            worker
+            for worker in allowed
+            if tickets.valid(worker.name, self.now) is not None
+        ]
+
+    def count(
+        self,
+        want: Want,
+        worker: fleet.Worker,
+        most: int,
+        freed: jobspec.Demand = fleet.NOTHING,
+    ) -> int:
+        """Return how many tasks of a group the worker may take.
+
+        Work whose objective allows for slow workers leaves a share of the
+        fast ones to work that needs them. ``freed`` is what stops under way
+        will give back.
+        """
+        if want.is_patient and worker.speed >= self._fast:
+            kept = round(KEPT_FREE * worker.entry.capacity.cpu_milli)
+            freed = attrs.evolve(freed, cpu_milli=freed.cpu_milli - kept)
+        step = want.step
+        count = worker.count_fitting(
+            step.demand, most, filler=step.filler, freed=freed
+        )
+        if step.per_worker_limit:
+            left = step.per_worker_limit - self._here(want.group, worker)
+            count = min(count, max(0, left))
+        return count
+
+    def best(
+        self, want: Want, task: book.Task, allowed: list[fleet.Worker]
+    ) -> fleet.Worker | None:
+        """Return the worker that suits one task best, if any has room."""
+        choices = [worker for worker in allowed if self.count(want, worker, 1)]
+        merit = functools.partial(_merit, want, task)
+        return max(choices, key=merit, default=None)
+
+    def gang(
+        self, want: Want, allowed: list[fleet.Worker]
+    ) -> list[fleet.Worker] | None:
+        """Return a worker for each task of a gang, None if not all fit."""
+        wanted = len(want.group.tasks)
+        for members in racks(want, allowed):
+            found = self._fill(want, members, wanted)
+            if found is not None:
+                return found
+        return None
+
+    def take(self, want: Want, task: book.Task, worker: fleet.Worker) -> None:
+        """Place a task; its room is occupied from now on."""
+        ticket = want.group.tickets.valid(worker.name, self.now) or ''
+        worker.occupy(task)
+        self.taken.append(Placement(task, worker, ticket, want.queue.rank))
+
+    def _fill(
+        self, want: Want, workers: list[fleet.Worker], wanted: int
+    ) -> list[fleet.Worker] | None:
+        found: list[fleet.Worker] = []
+        ranked = sorted(
+            workers,
+            key=lambda worker: (worker.speed, worker.used_cpu),
+            reverse=not want.is_patient,
+        )
+        for worker in ranked:
+            count = self.count(want, worker, wanted - len(found))
+            found.extend(itertools.repeat(worker, count))
+            if len(found) >= wanted:
+                return found
+        return None
+
+    def _here(self, group: book.Group, worker: fleet.Worker) -> int:
+        return sum(
+            task.group is group and task.state is not progress.TaskState.DONE
+            for task in worker.tasks.values()
+        )
+
+
+def is_patient(queue: jobspec.Queue) -> bool:
+    """Say whether the queue's objective allows for a slow worker."""
+    return queue.slack_factor >= PATIENT_SLACK
+
+
+def racks(
+    want: Want, workers: list[fleet.Worker]
+) -> abc.Iterable[list[fleet.Worker]]:
+    """Return the sets of workers of which one must hold all tasks."""
+    if not want.step.same_rack:
+        return [workers]
+    found: dict[str, list[fleet.Worker]] = {}
+    for worker in workers:
+        found.setdefault(worker.entry.rack, []).append(worker)
+    return found.values()
+
+
+def _merit(
+    want: Want, task: book.Task, worker: fleet.Worker
+) -> tuple[float, ...]:
+    step = want.step
+    far = bool(step.data_rack) and worker.entry.rack != step.data_rack
+    speed = -worker.speed if want.is_patient else worker.speed
+    fill = worker.used_cpu / max(1, worker.entry.capacity.cpu_milli)
+    return (
+        -float(worker.name in task.failed_on),
+        -float(far),
+        _peace(step, worker),
+        speed + PACKING_WEIGHT * fill,
+        fill,
+    )
+
+
+def _peace(step: jobspec.Step, worker: fleet.Worker) -> float:
+    """Rate how little serving tasks and fillers would disturb each other."""
+    if step.latency_target:
+        return -worker.filled_cpu
+    if not step.filler:
+        return 0
+    serving = any(
+        task.group.step.latency_target for task in worker.tasks.values()
+    )
+    used = worker.used_cpu + worker.filled_cpu
+    return worker.entry.capacity.cpu_milli * (1 - serving) - used
