Let peers call workers for a leader that is short of processor time

A cell of its own for each part of the workers was ruled out: gangs of 16 tasks on a third of the workers would not find their seats in a part.

- relay, deputy: above 80 workers a core a leader hands its calls to peers, in batches; a call says all there is to it, so a deputy decides nothing and workers refuse a former leader's.
What a deputy leaves unanswered is unanswered for the leader, and the worker's next call goes another way.
- greetings: eight heirs greet twice a second, the others every two seconds.
- a busy leader (event loop 30 ms late) has job states read from the store.
- holds read what runs at most every 0.4 s; commits and passes take a bounded share of the processor; a pass looks at 20 blocked groups of a queue.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -74,16 +74,46 @@
 
 KINDS = (
     Kind(
-        _queue('design', 1, 2.2, 1.0, (0.559, 0.008)),
-        *(2.37, 8.52, 1.2, 16, 80, 9_000, 9_000, 6.2, 1.0, 0.5, 0.35),
+        queue=_queue('design', 1, 2.2, 1.0, (0.559, 0.008)),
+        per_second=2.37,
+        worth=8.52,
+        steps=1.2,
+        width=16,
+        widest=80,
+        cpu=9_000,
+        memory=9_000,
+        seconds=6.2,
+        gang=1,
+        saves=0.5,
+        good=0.35,
     ),
     Kind(
-        _queue('plan', 2, 4.0, 3.0, (0.156, 0.0023)),
-        *(3.94, 3.21, 1.5, 25, 150, 3_500, 6_400, 3.4, 0, 0.8, 0.45),
+        queue=_queue('plan', 2, 4.0, 3.0, (0.156, 0.0023)),
+        per_second=3.94,
+        worth=3.21,
+        steps=1.5,
+        width=25,
+        widest=150,
+        cpu=3_500,
+        memory=6_400,
+        seconds=3.4,
+        gang=0,
+        saves=0.8,
+        good=0.45,
     ),
     Kind(
-        _queue('check', 0, 1.5, 0.3, (0.0143, 0.0002)),
-        *(44.1, 0.402, 1.0, 3.2, 19, 5_000, 7_100, 1.0, 0.3, 0, 0.7),
+        queue=_queue('check', 0, 1.5, 0.3, (0.0143, 0.0002)),
+        per_second=44.1,
+        worth=0.402,
+        steps=1,
+        width=3.2,
+        widest=19,
+        cpu=5_000,
+        memory=7_100,
+        seconds=1,
+        gang=0.3,
+        saves=0,
+        good=0.7,
     ),
 )
 
@@ -99,7 +129,7 @@
         """Return the jobs in the order of their arrival."""
         found = []
         for kind in KINDS:
-            at = 0.0
+            at = float(0)
             while at < TRAFFIC:
                 at += self.chance.expovariate(kind.per_second * self.factor)
                 found.append((at, kind, self._job(kind, at)))
@@ -286,7 +316,7 @@
                 tickets.good[name] = ('t', until)
 
     def _score(self, jobs: list) -> dict[str, float]:
-        earned = dict.fromkeys((kind.queue.name for kind in KINDS), 0.0)
+        earned = dict.fromkeys((kind.queue.name for kind in KINDS), 0)
         owed = dict(earned)
         means = _mean_work(jobs)
         for at, kind, spec in jobs:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/__main__.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/__main__.py
@@ -41,6 +41,7 @@
         machines=_machines(cfg),
         lease=cfg.hold_max,
         status_kept=cfg.status_kept,
+        cores=cfg.cores,
     )
     addresses = app.Addresses(
         front=cfg.front,
@@ -57,7 +58,6 @@
         advisor=advice.Advisor(cfg.advice) if cfg.advice else None,
         form=callers,
         grace=cfg.grace,
-        cores=cfg.cores,
     )
 
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
@@ -9,6 +9,7 @@
 import attrs
 
 from jujubebend_cluster import (
+    deputy,
     door,
     elector,
     leading,
@@ -40,10 +41,7 @@
 
 @attrs.define(eq=False)
 class App:
-    """Owns everything that runs on one host; ``grace`` is in seconds.
-
-    ``cores`` is the processor time that the host has for it.
-    """
+    """Owns everything that runs on one host; ``grace`` is in seconds."""
 
     host: str
     addresses: Addresses
@@ -52,7 +50,6 @@
     advisor: ports.Advisor | None
     form: door.CallerFormat
     grace: float
-    cores: float = 1
     numbers: measures.Measures = attrs.field(factory=measures.Measures)
     network: peers.Peers = attrs.field(init=False)
     election: elector.Elector = attrs.field(init=False)
@@ -63,13 +60,13 @@
 
     def __attrs_post_init__(self) -> None:
         """Put the parts together."""
-        peer = self.addresses.peer
-        self.network = peers.Peers(self.host, peer)
+        cores = self.around.cores
+        self.network = peers.Peers(self.host, self.addresses.peer, cores)
         self.leading = leading.Leading(
-            self.around, peer, self.advisor, self.numbers
+            self.around, self.advisor, self.numbers, self.network
         )
         self.election = elector.Elector(
-            self.around.store, self.network, self.leading.lead, self.cores
+            self.around.store, self.network, self.leading.lead, cores
         )
 
     async def run(self) -> None:
@@ -118,6 +115,8 @@
             self.advisor,
             self.leading.desk,
             self.leading.current,
+            self.leading.greeters,
+            deputy.Deputy(self.around.connect),
         )
         inner = peers.PeerServer(answers.handlers())
         await self._serve(self.addresses.peer, inner.handle)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
@@ -284,6 +284,23 @@
         )
 
 
+@attrs.define(eq=False)
+class JobRecord:
+    """A job's progress on its way to the store; see ``committer.Entry``."""
+
+    job: Job
+    state: progress.JobState = progress.JobState.QUEUED
+
+    def encode(self) -> bytes:
+        """Return the job's record as it stands now."""
+        self.state = self.job.state
+        return progress_of(self.job).encode()
+
+    def stored(self) -> None:
+        """Show callers what is in the store."""
+        self.job.shown = self.state
+
+
 def progress_of(job: Job) -> progress.Progress:
     """Return a job's record: its state, and the tasks that were ever placed."""
     tasks = {
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/cell.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/cell.py
@@ -18,7 +18,7 @@
     link,
     logs,
     measures,
-    progress,
+    ports,
     surroundings,
 )
 
@@ -26,21 +26,6 @@
 SPEAKS_FOR = 1.5  # seconds since a commit in which a leader answers as one
 
 
-@attrs.define(eq=False)
-class _JobRecord:
-    """A job's progress on its way to the store."""
-
-    job: book.Job
-    state: progress.JobState = progress.JobState.QUEUED
-
-    def encode(self) -> bytes:
-        self.state = self.job.state
-        return book.progress_of(self.job).encode()
-
-    def stored(self) -> None:
-        self.job.shown = self.state
-
-
 @attrs.define(eq=False)
 class Cell:
     """The state of one term as leader."""
@@ -54,12 +39,16 @@
     links: dict[str, link.Link] = attrs.field(factory=dict)
     began: float = attrs.field(factory=lambda: clock.now())
     wake: asyncio.Event = attrs.field(factory=asyncio.Event)
+    connect: abc.Callable[[str, str], ports.WorkerCalls] = attrs.field(
+        init=False
+    )
     ended: asyncio.Future = attrs.field(init=False)
     _queues: dict[str, jobspec.Queue] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
-        """Make the future that ends the term."""
+        """Call workers directly; make the future that ends the term."""
+        self.connect = self.around.connect
         self.ended = asyncio.get_running_loop().create_future()
 
     @property
@@ -84,7 +73,7 @@
 
     def save(self, job: book.Job) -> None:
         """Write the job's progress with the next commit."""
-        self.commits.put(keys.progress(job.spec.job), _JobRecord(job))
+        self.commits.put(keys.progress(job.spec.job), book.JobRecord(job))
 
     def queue_of(self, job: book.Job) -> jobspec.Queue | None:
         """Return the job's queue; one that was dropped is remembered."""
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
@@ -21,6 +21,7 @@
 LEADER_KEY = 'lead'
 RECORDS_PER_COMMIT = 30  # the store takes 32 entries, the leader's included
 GATHER = 0.012  # seconds that a commit waits for more records to join it
+GATHER_COST = 0.005  # seconds of a whole core; a commit takes a tenth of it
 TIMEOUT_FACTOR = 8.0  # times the usual time of a commit
 TIMEOUT_LEAST = 0.15  # seconds; a lost answer is settled this soon
 TIMEOUT_MOST = 1.0  # seconds
@@ -89,6 +90,7 @@
     revision: int
     committed_at: float = attrs.field(factory=lambda: clock.now())
     commits: int = 0
+    cores: float = 1
     _puts: dict[str, Entry] = attrs.field(factory=dict)
     _waiters: list[asyncio.Future] = attrs.field(factory=list)
     _under_way: list[asyncio.Future] = attrs.field(factory=list)
@@ -137,7 +139,7 @@
                 await self._wake.wait()
         except TimeoutError:
             return
-        await asyncio.sleep(GATHER)
+        await asyncio.sleep(max(GATHER, GATHER_COST / self.cores))
 
     async def _commit_batch(self) -> None:
         self._wake.clear()
--- /dev/null
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/deputy.py
@@ -0,0 +1,85 @@
+"""Calls workers for a leader that is short of processor time.
+
+A deputy decides nothing: each call says all there is to it, and the workers
+refuse those of a former leader. A leader asks again and again; each time it
+hands over new calls and takes the answers that have come since.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+
+import attrs
+
+from jujubebend_cluster import clock, logs, ports, relayed
+
+SESSION_IDLE = 6.0  # seconds without a word after which a leader is gone
+
+
+@attrs.define(eq=False)
+class _Session:
+    used_at: float = 0
+    answers: list = attrs.field(factory=list)
+    tasks: set[asyncio.Task] = attrs.field(factory=set)
+
+
+@attrs.define(eq=False)
+class Deputy:
+    """Keeps the connections to workers that leaders hand to this host."""
+
+    connect: abc.Callable[[str, str], ports.WorkerCalls]
+    _workers: dict[tuple[str, str], ports.WorkerCalls] = attrs.field(
+        factory=dict
+    )
+    _sessions: dict[str, _Session] = attrs.field(factory=dict)
+
+    async def exchange(self, plain: dict) -> dict:
+        """Begin the calls handed over; return what has been answered."""
+        name = plain['session']
+        fresh = name not in self._sessions
+        if fresh:
+            logs.belief('deputy', session=name)
+            await self._drop_idle()
+        session = self._sessions.setdefault(name, _Session())
+        session.used_at = clock.now()
+        for number, kind, worker, address, *row in plain['calls']:
+            calls = self._calls(worker, address)
+            task = asyncio.ensure_future(
+                _answer(session, number, calls, kind, row)
+            )
+            session.tasks.add(task)
+            task.add_done_callback(session.tasks.discard)
+        answers = session.answers
+        session.answers = []
+        return {'fresh': fresh, 'answers': answers}
+
+    def _calls(self, worker: str, address: str) -> ports.WorkerCalls:
+        key = (worker, address)
+        if key not in self._workers:
+            self._workers[key] = self.connect(worker, address)
+        return self._workers[key]
+
+    async def _drop_idle(self) -> None:
+        now = clock.now()
+        for name, session in list(self._sessions.items()):
+            if now - session.used_at > SESSION_IDLE:
+                self._sessions.pop(name)
+                for task in session.tasks:
+                    task.cancel()
+        if not self._sessions:
+            former = self._workers
+            self._workers = {}
+            for calls in former.values():
+                await calls.close()
+
+
+async def _answer(
+    session: _Session,
+    number: int,
+    calls: ports.WorkerCalls,
+    kind: str,
+    row: list,
+) -> None:
+    answer = await relayed.make(calls, kind, row)
+    session.answers.append([number, answer])
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/door.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/door.py
@@ -211,6 +211,9 @@
         leader = self.election.leader
         if not leader or leader == self.network.address:
             return None
+        if self.election.leader_busy:
+            # The store tells the same, without the leader's processor.
+            return None
         try:
             return await self.network.state(leader, job)
         except errors.JujubebendError:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
@@ -21,8 +21,8 @@
 SILENT_TAKEOVER = 1.0  # seconds; the leader itself tells of its silence
 POLL = 0.25  # seconds between reads while nobody is known to lead
 READ_AGE = 0.9  # seconds; a read of a slow store takes 0.3
+POLL_SHARE = 0.5  # of the pause that the leader last asked for
 CALM_POLL = 3.0  # seconds between reads while the leader greets us
-HELLO = 0.5  # seconds between greetings
 SPREAD = (0.8, 1.1)  # times a pause, so that hosts do not read in step
 STAGGER = 0.05  # seconds over which hosts of one size spread their claims
 STAGGER_BY_SIZE = 0.15  # seconds for a host of one core; half that for two
@@ -40,9 +40,11 @@
     revision: int = 0
     moved_at: float = 0
     greeted: bool = False
+    leader_busy: bool = False
     leading: bool = False
     stopping: bool = False
     store_read_at: float = 0
+    _pause: float = peers.HELLO
     _gone: bool = False
 
     @property
@@ -63,9 +65,17 @@
                 await self._claim()
                 continue
             await self._greet()
-            pause = HELLO if self.greeted else POLL
+            pause = self._pause if self.greeted else self._poll()
             await asyncio.sleep(pause * random.uniform(*SPREAD))
 
+    def _poll(self) -> float:
+        """Return the pause while the leader is not heard.
+
+        In a large cell a few hosts look often; the others would only add to
+        what a leader that is short of processor time has to answer.
+        """
+        return max(POLL, self._pause * POLL_SHARE)
+
     async def _read(self) -> None:
         try:
             item = await self.store.get(committer.LEADER_KEY)
@@ -181,6 +191,8 @@
         except errors.JujubebendError:
             return
         if greeting.epoch == record.epoch:
+            self._pause = greeting.pause
+            self.leader_busy = greeting.busy
             self.greeted = greeting.speaks and (
                 greeting.silence < SILENT_TAKEOVER
             )
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/leading.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/leading.py
@@ -8,8 +8,11 @@
     advicedesk,
     cell,
     committer,
+    greeters,
     measures,
+    peers,
     ports,
+    relay,
     surroundings,
     term,
 )
@@ -20,10 +23,11 @@
     """Runs a term for each election that this host wins."""
 
     around: surroundings.Surroundings
-    address: str
     advisor: ports.Advisor | None
     numbers: measures.Measures
+    network: peers.Peers
     desk: advicedesk.AdviceDesk = attrs.field(factory=advicedesk.AdviceDesk)
+    greeters: greeters.Greeters = attrs.field(factory=greeters.Greeters)
     term: term.Term | None = None
     stopping: bool = False
 
@@ -37,14 +41,23 @@
             return
         self.desk.callers.clear()
         if self.advisor is not None:
-            self.desk.callers[self.address] = advicedesk.Caller(
-                self.address, self.advisor.advise
+            mine = self.network.address
+            self.desk.callers[mine] = advicedesk.Caller(
+                mine, self.advisor.advise
             )
         self.desk.numbers = self.numbers
         commits.numbers = self.numbers
-        self.term = term.Term(
-            cell.Cell(self.around, commits, self.desk, self.numbers)
+        commits.cores = self.around.cores
+        made = cell.Cell(self.around, commits, self.desk, self.numbers)
+        relays = relay.Relays(
+            self.around.connect,
+            self.network.relay,
+            self.greeters.largest_first,
+            made.spawn,
+            self.around.cores,
         )
+        made.connect = relays.connect_worker
+        self.term = term.Term(made)
         try:
             await self.term.run()
         finally:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/link.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/link.py
@@ -13,6 +13,7 @@
 from jujubebend_cluster import book, clock, fleet, logs, ports, progress
 
 HOLD_WAIT = 1.0  # seconds that a hold waits for an end; the worker allows 2
+LIST_EVERY = 0.4  # seconds between two readings of all that runs
 HOLD_PAUSE = 0.4  # seconds between holds while ends wait to be stored
 RETRY_PAUSE = 0.25  # seconds after a call without an answer
 START_LIFE = 3.0  # seconds; a start carried out later is refused as late
@@ -58,6 +59,7 @@
     _former: list[ports.WorkerCalls] = attrs.field(factory=list)
     _lives: int = 0
     _cleared: bool = False
+    _listed_at: float = 0
 
     def __attrs_post_init__(self) -> None:
         """Open the first connection on demand."""
@@ -184,8 +186,11 @@
         # The first look brings the clock, and a stored end must be
         # acknowledged before the worker would wait for another.
         wait = HOLD_WAIT if self._cleared and worker.reached else 0
+        whole = not self._cleared or sent - self._listed_at > LIST_EVERY
         try:
-            answer = await self.calls.hold(worker.token, self.seen, until, wait)
+            answer = await self.calls.hold(
+                worker.token, self.seen, until, wait, whole=whole
+            )
         except errors.UnreachableError as exc:
             # A refused connection proves nothing: a cut path may refuse too.
             await self._silent(str(exc))
@@ -201,6 +206,8 @@
         if look.born and look.born != worker.entry.born:
             self._begin_life(look.born, 'it answers as a new life')
         worker.read_clock(look.clock, sent, received)
+        if look.running is not None:
+            self._listed_at = sent
         worker.unreached_since = None
         if not worker.reached:
             worker.reached = True
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/measures.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/measures.py
@@ -12,12 +12,15 @@
 
 BUCKETS = (0.005, 0.02, 0.1, 0.5, 2.0, 5.0, 15.0)  # seconds
 LAG_EVERY = 0.5  # seconds between two measurements of the loop's lag
+LAG_WEIGHT = 0.4  # of the newest measurement
 
 
 @attrs.define(eq=False)
 class Measures:
     """Counters and histograms of one process.
 
+    ``lag`` is the seconds that the event loop wakes late, of late.
+
     Names follow Prometheus: counters end in ``_total``, times in
     ``_seconds``.
 
@@ -29,6 +32,7 @@
     registry: aioprometheus.Registry = attrs.field(
         factory=aioprometheus.Registry
     )
+    lag: float = 0
     _counters: dict[str, aioprometheus.Counter] = attrs.field(factory=dict)
     _times: dict[str, aioprometheus.Histogram] = attrs.field(factory=dict)
     _gauges: dict[str, aioprometheus.Gauge] = attrs.field(factory=dict)
@@ -79,7 +83,9 @@
         while True:
             due = loop.time() + LAG_EVERY
             await asyncio.sleep(LAG_EVERY)
-            self.observe('loop_lag', max(0, loop.time() - due))
+            late = max(0, loop.time() - due)
+            self.lag += LAG_WEIGHT * (late - self.lag)
+            self.observe('loop_lag', late)
 
     def render(self) -> bytes:
         """Return every metric as text."""
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/peercalls.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/peercalls.py
@@ -10,13 +10,15 @@
 from jujubebend_cluster import (
     advicedesk,
     clock,
+    deputy,
+    greeters,
     keys,
     peers,
     ports,
     term,
 )
 
-PEER_SILENCE = 2.5  # seconds after its last hello that a peer may still help
+BUSY_LAG = 0.03  # seconds that the event loop of a busy leader is late
 
 
 @attrs.define(eq=False)
@@ -28,7 +30,8 @@
     advisor: ports.Advisor | None
     desk: advicedesk.AdviceDesk
     current_term: abc.Callable[[], term.Term | None]
-    _greeted: dict[str, float] = attrs.field(factory=dict)
+    greeters: greeters.Greeters
+    deputy: deputy.Deputy
 
     def handlers(self) -> dict[str, peers.Handler]:
         """Return the handler of each call that peers make."""
@@ -38,23 +41,25 @@
             'count': self._count,
             'store': self._store,
             'advise': self._advise,
+            'relay': self.deputy.exchange,
         }
 
     async def _hello(self, plain: dict) -> dict:
         current = self.current_term()
         if current is None:
-            return {'epoch': 0, 'speaks': False, 'silence': 0}
-        self._enlist(plain['address'])
+            return {'epoch': 0, 'speaks': False}
+        self._enlist(plain['address'], plain['cores'])
         commits = current.cell.commits
         return {
             'epoch': commits.record.epoch,
             'speaks': current.speaks(),
             'silence': clock.now() - commits.committed_at,
+            'pause': self.greeters.pause(plain['address']),
+            'busy': current.cell.numbers.lag > BUSY_LAG,
         }
 
-    def _enlist(self, address: str) -> None:
-        now = clock.now()
-        self._greeted[address] = now
+    def _enlist(self, address: str, cores: float) -> None:
+        self.greeters.greeted(address, cores)
         if self.advisor is not None and address not in self.desk.callers:
             self.desk.callers[address] = advicedesk.Caller(
                 address,
@@ -62,10 +67,8 @@
                     address, step, workers, wait
                 ),
             )
-        for known, seen in list(self._greeted.items()):
-            if now - seen > PEER_SILENCE:
-                self._greeted.pop(known)
-                self.desk.callers.pop(known, None)
+        for silent in self.greeters.forget_silent():
+            self.desk.callers.pop(silent, None)
 
     async def _state(self, plain: dict) -> dict:
         state = self._speaking().state_of(plain['job'])
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
@@ -13,6 +13,7 @@
 from jujubebend_http import httpclient, httpmessage
 
 CALL_TIMEOUT = 0.5  # seconds; a usual answer takes 3 ms
+HELLO = 0.5  # seconds between greetings
 HELLO_TIMEOUT = 0.3  # seconds; a leader that is late by more is suspect
 CONNECTIONS = 8  # to each peer
 OK = http.HTTPStatus.OK
@@ -25,12 +26,16 @@
 class Greeting:
     """A peer's answer to a hello: which epoch it leads, if it leads.
 
-    ``silence`` is the seconds since its last commit to the store.
+    ``silence`` is the seconds since its last commit to the store, ``pause``
+    the seconds until it wants the next hello; ``busy`` asks for as few other
+    calls as possible.
     """
 
     epoch: int
     speaks: bool
     silence: float = 0
+    pause: float = HELLO
+    busy: bool = False
 
 
 @attrs.define(eq=False)
@@ -39,6 +44,7 @@
 
     host: str
     address: str
+    cores: float = 1
     _clients: dict[str, httpclient.Client] = attrs.field(factory=dict)
 
     async def hello(self, address: str) -> Greeting:
@@ -46,10 +52,10 @@
         plain = await self._call(
             address,
             'hello',
-            {'host': self.host, 'address': self.address},
+            {'address': self.address, 'cores': self.cores},
             HELLO_TIMEOUT,
         )
-        return Greeting(plain['epoch'], plain['speaks'], plain['silence'])
+        return Greeting(**plain)
 
     async def state(self, address: str, job: str) -> progress.JobState | None:
         """Ask the leader for a job's state; None where it knows no such."""
@@ -79,6 +85,10 @@
         answer = await self._call(address, 'advise', plain, CALL_TIMEOUT + wait)
         return answer['good']
 
+    async def relay(self, address: str, plain: dict, timeout: float) -> dict:
+        """Hand a peer calls to workers, and take what was answered."""
+        return await self._call(address, 'relay', plain, timeout)
+
     async def close(self) -> None:
         """Close the idle connections."""
         for client in self._clients.values():
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections import abc
 
 import attrs
@@ -16,6 +17,7 @@
 
 LATE_FACTOR = 3.0  # past this many objectives a job earns nothing
 KNOWN_FACTOR = 4.0  # times a gang's seats, on workers known to be good
+MOST_BLOCKED = 20  # groups of a queue without room that one pass looks at
 
 
 @attrs.frozen
@@ -42,9 +44,18 @@
     plan: Plan
     room: seats.Seats
     reservations: int = 0
+    _blocked: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
 
     def place(self, want: seats.Want) -> None:
-        """Place a group as far as there is room, or prepare for it."""
+        """Place a group as far as there is room, or prepare for it.
+
+        Under a flood, most groups of a queue find no room: only the first
+        are looked at in one pass.
+        """
+        if self._blocked[want.queue.name] >= MOST_BLOCKED:
+            return
         allowed = self.room.allowed(want)
         ticketed = self.room.ticketed(want, allowed)
         if want.step.gang:
@@ -52,6 +63,7 @@
         else:
             done = self._place_each(want, ticketed)
         if not done:
+            self._blocked[want.queue.name] += 1
             self._prepare(want, allowed)
 
     def _place_each(
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/ports.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/ports.py
@@ -122,11 +122,14 @@
 
 @attrs.frozen
 class Look:
-    """A worker's answer to a hold; ``clock`` is the worker's, in seconds."""
+    """A worker's answer to a hold; ``clock`` is the worker's, in seconds.
+
+    ``running`` is None where the caller asked for ends only.
+    """
 
     clock: float
     born: int
-    running: tuple[Running, ...] = ()
+    running: tuple[Running, ...] | None = ()
     ended: tuple[Ended, ...] = ()
 
 
@@ -177,9 +180,18 @@
         ...
 
     async def hold(
-        self, token: int, seen: int, until: float | None, wait: float
+        self,
+        token: int,
+        seen: int,
+        until: float | None,
+        wait: float,
+        *,
+        whole: bool = True,
     ) -> Look | Verdict:
-        """Extend leases, acknowledge ends up to ``seen``, list runs."""
+        """Extend leases, acknowledge ends up to ``seen``, list runs.
+
+        Where not ``whole`` is asked for, what runs may be left out.
+        """
         ...
 
     async def close(self) -> None:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/progress.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/progress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import typing
 
 import attrs
 import orjson
@@ -33,8 +34,7 @@
     DONE = 'done'
 
 
-@attrs.frozen
-class TaskProgress:
+class TaskProgress(typing.NamedTuple):
     """What is kept of one task that was ever placed."""
 
     state: TaskState
@@ -67,7 +67,7 @@
         plain = {
             'state': self.state.value,
             'tasks': {
-                key: (row.state.value, *attrs.astuple(row)[1:])
+                key: (row.state.value, *row[1:])
                 for key, row in self.tasks.items()
             },
             'gangs': self.gangs,
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/reports.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/reports.py
@@ -43,8 +43,9 @@
         self.cell.numbers.count('holds', outcome='answered')
         for end in look.ended:
             self._take_end(worker, end)
-        self._take_running(worker, look, sent)
-        self.pacer.looked(worker)
+        if look.running is not None:
+            self._take_running(worker, look, sent)
+            self.pacer.looked(worker)
         self.cell.wake.set()
         await self.cell.commits.flush()
         return True
@@ -136,7 +137,7 @@
     ) -> None:
         listed: set[jobspec.TaskName] = set()
         now = clock.now()
-        for row in look.running:
+        for row in look.running or ():
             task = worker.tasks.get(row.task)
             if task is None or task.run != row.run:
                 self._take_stray(worker, row)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/roster.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/roster.py
@@ -62,7 +62,7 @@
         worker = fleet.Worker(entry)
         made = link.Link(
             worker,
-            self.cell.around.connect,
+            self.cell.connect,
             self.reports,
             self.cell.epoch,
             self.cell.around.lease,
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
@@ -20,6 +20,7 @@
 )
 
 PASS_GAP = 0.012  # seconds between two planning passes
+PASS_SHARE = 0.3  # of the time, at most, is spent in passes
 PASS_IDLE = 0.1  # seconds; occurrences and leases come due without an event
 
 
@@ -37,9 +38,11 @@
                 async with asyncio.timeout(PASS_IDLE):
                     await self.cell.wake.wait()
             self.cell.wake.clear()
+            began = clock.now()
             if self.cell.is_current() and not self.cell.commits.store_lost:
                 self._plan()
-            await asyncio.sleep(PASS_GAP)
+            taken = clock.now() - began
+            await asyncio.sleep(max(PASS_GAP, taken / PASS_SHARE - taken))
 
     def _plan(self) -> None:
         now = clock.now()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/surroundings.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/surroundings.py
@@ -11,7 +11,10 @@
 
 @attrs.frozen
 class Surroundings:
-    """What a term works with; ``lease`` and ``status_kept`` in seconds."""
+    """What a term works with; ``lease`` and ``status_kept`` in seconds.
+
+    ``cores`` is the processor time that the host has for the process.
+    """
 
     store: ports.Store
     connect: abc.Callable[[str, str], ports.WorkerCalls]
@@ -22,3 +25,4 @@
     machines: ports.Machines | None
     lease: float
     status_kept: float
+    cores: float = 1
--- a/tests/fakecell.py
+++ b/tests/fakecell.py
@@ -245,7 +245,7 @@
         self.paces[task] = percent
         return ports.Verdict.ACCEPTED
 
-    async def hold(self, token, seen, until, wait):
+    async def hold(self, token, seen, until, wait, *, whole=True):
         await self._reach()
         if token < self.token:
             return ports.Verdict.FENCED
