--- a/packages/jujubebend-cluster/src/jujubebend_cluster/eviction.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/eviction.py
@@ -39,7 +39,7 @@
 
 
 def reserve(
-    room: seats.Seats, want: seats.Want, suited: list[fleet.Worker]
+    room: seats.Seats, want: seats.Want, suited: abc.Sequence[fleet.Worker]
 ) -> Reservation:
     """Choose the workers that can seat the group soonest.
 
@@ -61,7 +61,7 @@
 
 
 def _choose(
-    room: seats.Seats, want: seats.Want, workers: list[fleet.Worker]
+    room: seats.Seats, want: seats.Want, workers: abc.Sequence[fleet.Worker]
 ) -> Reservation:
     """Take the offers that cost least, then wait for the emptiest workers."""
     made = Reservation()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
@@ -28,6 +28,7 @@
     """
 
     entry: ports.WorkerEntry
+    name: str = attrs.field(init=False)
     listed: bool = True
     reached: bool = False
     used_cpu: int = 0
@@ -52,10 +53,9 @@
     pacing: bool = False
     cordoned: bool = False
 
-    @property
-    def name(self) -> str:
-        """Return the worker's ID."""
-        return self.entry.worker
+    def __attrs_post_init__(self) -> None:
+        """Keep the worker's ID at hand: no later entry changes it."""
+        self.name = self.entry.worker
 
     def read_clock(self, clock: float, sent: float, received: float) -> None:
         """Take the worker's clock as read between two of our moments."""
@@ -105,27 +105,27 @@
         *,
         filler: bool = False,
         freed: jobspec.Demand = NOTHING,
+        kept_cpu: int = 0,
     ) -> int:
         """Return how many more tasks of that size have room, up to ``most``.
 
         A filler's processors are counted against those of other fillers
-        only. ``freed`` is counted as if it were free.
+        only. ``freed`` is counted as if it were free, ``kept_cpu`` is not.
         """
         room = self.entry.capacity
-        used_cpu = self.filled_cpu if filler else self.used_cpu
-        rows = (
-            (demand.cpu_milli, room.cpu_milli + freed.cpu_milli - used_cpu),
-            (
-                demand.memory_mb,
-                room.memory_mb + freed.memory_mb - self.used_memory,
-            ),
-            (
-                demand.accelerators,
-                room.accelerators + freed.accelerators - self.used_accelerators,
-            ),
-        )
-        count = min((free // each for each, free in rows if each), default=most)
-        return max(0, min(count, most))
+        count = most
+        if demand.cpu_milli:
+            used = self.filled_cpu if filler else self.used_cpu
+            free = room.cpu_milli + freed.cpu_milli - used - kept_cpu
+            count = min(count, free // demand.cpu_milli)
+        if demand.memory_mb:
+            free = room.memory_mb + freed.memory_mb - self.used_memory
+            count = min(count, free // demand.memory_mb)
+        if demand.accelerators:
+            free = room.accelerators + freed.accelerators
+            free -= self.used_accelerators
+            count = min(count, free // demand.accelerators)
+        return max(0, count)
 
     def occupy(self, task: book.Task) -> None:
         """Count a task's demand against the room."""
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -56,18 +56,17 @@
         """
         if self._blocked[want.queue.name] >= MOST_BLOCKED:
             return
-        allowed = self.room.allowed(want)
-        ticketed = self.room.ticketed(want, allowed)
+        ticketed = self.room.ticketed(want)
         if want.step.gang:
             done = self._place_gang(want, ticketed)
         else:
             done = self._place_each(want, ticketed)
         if not done:
             self._blocked[want.queue.name] += 1
-            self._prepare(want, allowed)
+            self._prepare(want)
 
     def _place_each(
-        self, want: seats.Want, allowed: list[fleet.Worker]
+        self, want: seats.Want, allowed: abc.Sequence[fleet.Worker]
     ) -> bool:
         for task in want.group.waiting_tasks():
             worker = self.room.best(want, task, allowed)
@@ -77,7 +76,7 @@
         return True
 
     def _place_gang(
-        self, want: seats.Want, allowed: list[fleet.Worker]
+        self, want: seats.Want, allowed: abc.Sequence[fleet.Worker]
     ) -> bool:
         if want.group.placed:
             return True
@@ -89,9 +88,9 @@
             self.room.take(want, task, worker)
         return True
 
-    def _prepare(self, want: seats.Want, allowed: list[fleet.Worker]) -> None:
+    def _prepare(self, want: seats.Want) -> None:
         """Reserve room, have saved work give way, and ask for advice."""
-        suited = _suited(want, allowed)
+        suited = self.room.suited(want)
         about = frozenset()
         if self.reservations < eviction.RESERVATIONS:
             made = eviction.reserve(self.room, want, suited)
@@ -101,14 +100,13 @@
                 about = frozenset(worker.name for worker in made.workers)
         if want.queue.advice is None:
             return
-        if self._needs_advice(want, allowed, suited, about):
+        if self._needs_advice(want, suited, about):
             self.plan.questions.append(Question(want.group, about))
 
     def _needs_advice(
         self,
         want: seats.Want,
-        allowed: list[fleet.Worker],
-        suited: list[fleet.Worker],
+        suited: abc.Sequence[fleet.Worker],
         about: frozenset[str],
     ) -> bool:
         """Say whether a call for advice could let more of the group start."""
@@ -118,7 +116,9 @@
         if not tickets.asked:
             return True
         fresh = [
-            worker for worker in allowed if worker.name not in tickets.asked
+            worker
+            for worker in self.room.allowed(want)
+            if worker.name not in tickets.asked
         ]
         if want.step.gang:
             return self._gang_needs_advice(want, fresh, suited, about)
@@ -133,7 +133,7 @@
         self,
         want: seats.Want,
         fresh: list[fleet.Worker],
-        suited: list[fleet.Worker],
+        suited: abc.Sequence[fleet.Worker],
         about: frozenset[str],
     ) -> bool:
         if fresh and not _knows_enough(want, suited):
@@ -147,7 +147,7 @@
         if about and stale:
             return True
         roomy = [worker for worker in fresh if worker.fits(want.step.demand)]
-        return self.room.gang(want, suited + roomy) is not None
+        return self.room.gang(want, [*suited, *roomy]) is not None
 
 
 def urgency(
@@ -188,17 +188,7 @@
     return made
 
 
-def _suited(
-    want: seats.Want, allowed: list[fleet.Worker]
-) -> list[fleet.Worker]:
-    """Return the workers on which the group is known to be admitted."""
-    if want.queue.advice is None:
-        return allowed
-    good = want.group.tickets.good
-    return [worker for worker in allowed if worker.name in good]
-
-
-def _knows_enough(want: seats.Want, suited: list[fleet.Worker]) -> bool:
+def _knows_enough(want: seats.Want, suited: abc.Sequence[fleet.Worker]) -> bool:
     """Say whether a gang could choose among the workers known to be good."""
     needed = max(1, want.step.demand.cpu_milli)
     known = sum(worker.entry.capacity.cpu_milli // needed for worker in suited)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import itertools
 import math
 import random
@@ -164,10 +165,7 @@
         able = able[:wanted]
         if not able:
             return None
-        loads = dict.fromkeys(able, 0)
-        for address in self._chosen.values():
-            if address in loads:
-                loads[address] += 1
+        loads = collections.Counter(self._chosen.values())
         address = min(able, key=lambda one: (loads[one], random.random()))
         self._chosen[worker] = address
         return self._open(address)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/seats.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/seats.py
@@ -60,34 +60,33 @@
     reserved: dict[str, int] = attrs.field(factory=dict)
     taken: list[Placement] = attrs.field(factory=list)
     _fast: float = attrs.field(init=False)
+    _by_name: dict[str, fleet.Worker] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Learn the pace from which a worker counts as a fast one."""
+        self._by_name = {worker.name: worker for worker in self.workers}
         total = sum(worker.speed for worker in self.workers)
         self._fast = FAST_FACTOR * total / max(1, len(self.workers))
 
-    def allowed(self, want: Want) -> list[fleet.Worker]:
+    def allowed(self, want: Want) -> abc.Sequence[fleet.Worker]:
         """Return the workers that the group's step and rank admit."""
-        rank = want.queue.rank
-        return [
-            worker
-            for worker in self.workers
-            if worker.has_label(want.step.required_label)
-            and self.reserved.get(worker.name, rank) >= rank
-        ]
+        if not self.reserved and not want.step.required_label:
+            return self.workers
+        return [worker for worker in self.workers if self._admits(want, worker)]
 
-    def ticketed(
-        self, want: Want, allowed: list[fleet.Worker]
-    ) -> list[fleet.Worker]:
-        """Return those of the workers that the group may be started on now."""
+    def ticketed(self, want: Want) -> abc.Sequence[fleet.Worker]:
+        """Return the workers that the group may be started on now."""
         if want.queue.advice is None:
-            return allowed
-        tickets = want.group.tickets
-        return [
-            worker
-            for worker in allowed
-            if tickets.valid(worker.name, self.now) is not None
-        ]
+            return self.allowed(want)
+        good = want.group.tickets.good
+        valid = [name for name, (_, until) in good.items() if self.now < until]
+        return self._named(want, valid)
+
+    def suited(self, want: Want) -> abc.Sequence[fleet.Worker]:
+        """Return the workers on which the group is known to be admitted."""
+        if want.queue.advice is None:
+            return self.allowed(want)
+        return self._named(want, want.group.tickets.good)
 
     def count(
         self,
@@ -102,12 +101,16 @@
         fast ones to work that needs them. ``freed`` is what stops under way
         will give back.
         """
-        if want.is_patient and worker.speed >= self._fast:
+        kept = 0
+        if worker.speed >= self._fast and want.is_patient:
             kept = round(KEPT_FREE * worker.entry.capacity.cpu_milli)
-            freed = attrs.evolve(freed, cpu_milli=freed.cpu_milli - kept)
         step = want.step
         count = worker.count_fitting(
-            step.demand, most, filler=step.filler, freed=freed
+            step.demand,
+            most,
+            filler=step.filler,
+            freed=freed,
+            kept_cpu=kept,
         )
         if step.per_worker_limit:
             left = step.per_worker_limit - self._here(want.group, worker)
@@ -115,7 +118,7 @@
         return count
 
     def best(
-        self, want: Want, task: book.Task, allowed: list[fleet.Worker]
+        self, want: Want, task: book.Task, allowed: abc.Sequence[fleet.Worker]
     ) -> fleet.Worker | None:
         """Return the worker that suits one task best, if any has room."""
         choices = [worker for worker in allowed if self.count(want, worker, 1)]
@@ -123,7 +126,7 @@
         return max(choices, key=merit, default=None)
 
     def gang(
-        self, want: Want, allowed: list[fleet.Worker]
+        self, want: Want, allowed: abc.Sequence[fleet.Worker]
     ) -> list[fleet.Worker] | None:
         """Return a worker for each task of a gang, None if not all fit."""
         wanted = len(want.group.tasks)
@@ -139,8 +142,21 @@
         worker.occupy(task)
         self.taken.append(Placement(task, worker, ticket, want.queue.rank))
 
+    def _named(
+        self, want: Want, names: abc.Iterable[str]
+    ) -> list[fleet.Worker]:
+        present = [
+            self._by_name[name] for name in names if name in self._by_name
+        ]
+        return [worker for worker in present if self._admits(want, worker)]
+
+    def _admits(self, want: Want, worker: fleet.Worker) -> bool:
+        rank = want.queue.rank
+        reserved = self.reserved.get(worker.name, rank)
+        return reserved >= rank and worker.has_label(want.step.required_label)
+
     def _fill(
-        self, want: Want, workers: list[fleet.Worker], wanted: int
+        self, want: Want, workers: abc.Sequence[fleet.Worker], wanted: int
     ) -> list[fleet.Worker] | None:
         found: list[fleet.Worker] = []
         ranked = sorted(
@@ -168,8 +184,8 @@
 
 
 def racks(
-    want: Want, workers: list[fleet.Worker]
-) -> abc.Iterable[list[fleet.Worker]]:
+    want: Want, workers: abc.Sequence[fleet.Worker]
+) -> abc.Iterable[abc.Sequence[fleet.Worker]]:
     """Return the sets of workers of which one must hold all tasks."""
     if not want.step.same_rack:
         return [workers]
--- a/tests/cluster/test_relay.py
+++ b/tests/cluster/test_relay.py
@@ -153,18 +153,22 @@
     _play(scenario)
 
 
+@attrs.define(eq=False)
+class _Endless:
+    closed: list
+
+    async def close(self):
+        self.closed.append(self)
+
+    async def hold(self, *args, **more):
+        await asyncio.sleep(100)
+
+
 def test_idle_sessions_are_dropped():
     async def main():
         closed = []
 
-        class Calls:
-            async def close(self):
-                closed.append(self)
-
-            async def hold(self, *args, **more):
-                await asyncio.sleep(100)
-
-        made = deputy.Deputy(lambda name, address: Calls())
+        made = deputy.Deputy(lambda name, address: _Endless(closed))
         row = [1, relayed.HOLD, 'w', 'a', 1, 0, None, 0, True]
         first = await made.exchange({'session': 'a', 'calls': [row]})
         again = await made.exchange({'session': 'a', 'calls': []})
