--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -60,21 +60,11 @@
         if want.step.gang:
             done = self._place_gang(want, ticketed)
         else:
-            done = self._place_each(want, ticketed)
+            done = self.room.place_each(want, ticketed)
         if not done:
             self._blocked[want.queue.name] += 1
             self._prepare(want)
 
-    def _place_each(
-        self, want: seats.Want, allowed: abc.Sequence[fleet.Worker]
-    ) -> bool:
-        for task in want.group.waiting_tasks():
-            worker = self.room.best(want, task, allowed)
-            if worker is None:
-                return False
-            self.room.take(want, task, worker)
-        return True
-
     def _place_gang(
         self, want: seats.Want, allowed: abc.Sequence[fleet.Worker]
     ) -> bool:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/seats.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/seats.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import functools
+import heapq
 import itertools
 from collections import abc
 
@@ -117,13 +117,35 @@
             count = min(count, max(0, left))
         return count
 
-    def best(
-        self, want: Want, task: book.Task, allowed: abc.Sequence[fleet.Worker]
-    ) -> fleet.Worker | None:
-        """Return the worker that suits one task best, if any has room."""
-        choices = [worker for worker in allowed if self.count(want, worker, 1)]
-        merit = functools.partial(_merit, want, task)
-        return max(choices, key=merit, default=None)
+    def place_each(
+        self, want: Want, allowed: abc.Sequence[fleet.Worker]
+    ) -> bool:
+        """Place single tasks, each where it suits best; say if all fit.
+
+        Workers are ranked once: after that only the one taken changes.
+        """
+        tasks = want.group.waiting_tasks()
+        rest = [task for task in tasks if not task.failed_on]
+        for task in tasks:
+            if task.failed_on and not self._place_apart(want, task, allowed):
+                return False
+        ranked = [
+            (_demerit(want, worker), worker.name)
+            for worker in allowed
+            if self.count(want, worker, 1)
+        ]
+        heapq.heapify(ranked)
+        for task in rest:
+            if not ranked:
+                return False
+            worker = self._by_name[ranked[0][1]]
+            self.take(want, task, worker)
+            if self.count(want, worker, 1):
+                entry = (_demerit(want, worker), worker.name)
+                heapq.heapreplace(ranked, entry)
+            else:
+                heapq.heappop(ranked)
+        return True
 
     def gang(
         self, want: Want, allowed: abc.Sequence[fleet.Worker]
@@ -155,6 +177,23 @@
         reserved = self.reserved.get(worker.name, rank)
         return reserved >= rank and worker.has_label(want.step.required_label)
 
+    def _place_apart(
+        self,
+        want: Want,
+        task: book.Task,
+        allowed: abc.Sequence[fleet.Worker],
+    ) -> bool:
+        """Place a task that failed before, away from where it did."""
+        choices = [worker for worker in allowed if self.count(want, worker, 1)]
+        if not choices:
+            return False
+        worker = min(
+            choices,
+            key=lambda one: (one.name in task.failed_on, _demerit(want, one)),
+        )
+        self.take(want, task, worker)
+        return True
+
     def _fill(
         self, want: Want, workers: abc.Sequence[fleet.Worker], wanted: int
     ) -> list[fleet.Worker] | None:
@@ -195,19 +234,17 @@
     return found.values()
 
 
-def _merit(
-    want: Want, task: book.Task, worker: fleet.Worker
-) -> tuple[float, ...]:
+def _demerit(want: Want, worker: fleet.Worker) -> tuple[float, ...]:
+    """Return what speaks against a worker; the smallest suits best."""
     step = want.step
     far = bool(step.data_rack) and worker.entry.rack != step.data_rack
     speed = -worker.speed if want.is_patient else worker.speed
     fill = worker.used_cpu / max(1, worker.entry.capacity.cpu_milli)
     return (
-        -float(worker.name in task.failed_on),
-        -float(far),
-        _peace(step, worker),
-        speed + PACKING_WEIGHT * fill,
-        fill,
+        far,
+        -_peace(step, worker),
+        -speed - PACKING_WEIGHT * fill,
+        -fill,
     )
 
 
