Repeat an exchange that was lost; let a task give way only once

Before: one failed exchange ended a route. Now exchanges are numbered by what has been taken, so one is repeated without loss and without a second call; a task that gave way is left alone after.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -242,6 +242,7 @@
         for task in made.evicted:
             if not task.stopping:
                 task.stopping = True
+                task.gave_way = True
                 self.stops += 1
                 self._at(now + STOP_DELAY, self._stopped, task, task.run)
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
@@ -20,7 +20,8 @@
     at the worker sent later than that must list the run. ``tail`` is the
     response time in seconds that a serving task measures; ``paced`` is the
     percent that a filler was last told, None where that is not known;
-    ``rank`` that of its queue when the run was placed.
+    ``rank`` that of its queue when the run was placed. One that ``gave_way``
+    to work of higher rank is left alone from then on.
     """
 
     name: jobspec.TaskName
@@ -40,6 +41,7 @@
     tail: float = 0
     paced: int | None = None
     rank: int = 0
+    gave_way: bool = False
     failed_on: set[str] = attrs.field(factory=set)
 
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/deputy.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/deputy.py
@@ -19,14 +19,31 @@
 
 @attrs.define(eq=False)
 class _Session:
+    """One leader's calls.
+
+    ``highest`` is the number of its newest call, ``taken`` how many answers
+    it has confirmed; ``answers`` are those after.
+    """
+
     used_at: float = 0
+    highest: int = -1
+    taken: int = 0
     answers: list = attrs.field(factory=list)
     tasks: set[asyncio.Task] = attrs.field(factory=set)
 
+    def confirm(self, taken: int) -> None:
+        """Drop the answers that the leader has."""
+        self.answers = self.answers[max(0, taken - self.taken) :]
+        self.taken = max(self.taken, taken)
+
 
 @attrs.define(eq=False)
 class Deputy:
-    """Keeps the connections to workers that leaders hand to this host."""
+    """Keeps the connections to workers that leaders hand to this host.
+
+    An exchange that was lost is repeated: calls that are known already are
+    not made again, and answers are kept until the leader confirms them.
+    """
 
     connect: abc.Callable[[str, str], ports.WorkerCalls]
     _workers: dict[tuple[str, str], ports.WorkerCalls] = attrs.field(
@@ -43,16 +60,18 @@
             await self._drop_idle()
         session = self._sessions.setdefault(name, _Session())
         session.used_at = clock.now()
+        session.confirm(plain['taken'])
         for number, kind, worker, address, *row in plain['calls']:
+            if number <= session.highest:
+                continue
+            session.highest = number
             calls = self._calls(worker, address)
             task = asyncio.ensure_future(
                 _answer(session, number, calls, kind, row)
             )
             session.tasks.add(task)
             task.add_done_callback(session.tasks.discard)
-        answers = session.answers
-        session.answers = []
-        return {'fresh': fresh, 'answers': answers}
+        return {'fresh': fresh, 'answers': session.answers}
 
     def _calls(self, worker: str, address: str) -> ports.WorkerCalls:
         key = (worker, address)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/eviction.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/eviction.py
@@ -146,5 +146,5 @@
         and not (step.gang or step.lasting or step.filler)
         and task.state is progress.TaskState.PLACED
         and task.answered_at is not None
-        and not task.stopping
+        and not (task.stopping or task.gave_way)
     )
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
@@ -27,6 +27,7 @@
 EXCHANGE_TIMEOUT = 0.8  # seconds
 ORDER_LIMIT = 1.6  # seconds for an order: two exchanges, a worker's answer
 HOLD_SLACK = 1.6  # seconds beyond the wait that a hold asked for
+MOST_FAILURES = 2  # exchanges in a row after which a deputy is left
 AVOID = 3.0  # seconds that a deputy which failed is left alone
 SESSION_BITS = 64
 DIRECT = ''  # the route that leads through no deputy
@@ -46,6 +47,7 @@
         factory=lambda: f'{random.getrandbits(SESSION_BITS):016x}'
     )
     _begun: bool = False
+    _taken: int = 0
     _outbox: list = attrs.field(factory=list)
     _waiting: dict[int, asyncio.Future] = attrs.field(factory=dict)
     _numbers: abc.Iterator[int] = attrs.field(factory=itertools.count)
@@ -70,26 +72,41 @@
 
     async def run(self) -> None:
         """Exchange calls and answers until the deputy fails."""
+        failures = 0
         try:
-            while not self.failed:
+            while failures < MOST_FAILURES:
                 await asyncio.sleep(self.pause())
                 if self._waiting:
-                    await self._exchange()
-        except errors.JujubebendError as exc:
-            logs.belief('deputy_failed', deputy=self.address, why=str(exc))
+                    failures = await self._try(failures)
         finally:
             self._fail()
 
+    async def _try(self, failures: int) -> int:
+        """Exchange once; return how many exchanges have failed in a row."""
+        try:
+            await self._exchange()
+        except errors.JujubebendError as exc:
+            logs.belief('deputy_failed', deputy=self.address, why=str(exc))
+            gone = isinstance(exc, errors.RefusedConnectionError)
+            return MOST_FAILURES if gone else failures + 1
+        return 0
+
     async def _exchange(self) -> None:
-        batch = self._outbox
-        self._outbox = []
+        batch = list(self._outbox)
         before = set(self._waiting) - {row[0] for row in batch}
-        plain = {'session': self._session, 'calls': batch}
+        plain = {
+            'session': self._session,
+            'calls': batch,
+            'taken': self._taken,
+        }
         told = await self.exchange(self.address, plain, EXCHANGE_TIMEOUT)
+        self._outbox = self._outbox[len(batch) :]
         if told['fresh'] and self._begun:
             # The deputy began anew: it knows nothing of earlier calls.
             self._give_up(before)
+            self._taken = 0
         self._begun = True
+        self._taken += len(told['answers'])
         for number, answer in told['answers']:
             fut = self._waiting.get(number)
             if fut is not None and not fut.done():
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
@@ -51,6 +51,7 @@
         for question in made.questions:
             self._ask_advice(question, now)
         for task in made.evicted:
+            task.gave_way = True
             self.orders.stop(task, 'work of higher rank needs its room')
         if made.placements:
             self._place(made.placements, now)
--- a/tests/cluster/test_planner.py
+++ b/tests/cluster/test_planner.py
@@ -250,6 +250,10 @@
             task.stopping = True
         # What stops already is waited for: nothing more gives way.
         assert not _plan(cell, (URGENT, gang)).evicted
+        for task in made.evicted:
+            task.stopping = False
+            task.gave_way = True
+        assert not _plan(cell, (URGENT, gang)).evicted
 
     _play(check)
 
--- a/tests/cluster/test_relay.py
+++ b/tests/cluster/test_relay.py
@@ -23,6 +23,7 @@
     deputies: dict = attrs.field(factory=dict)
     cut: set = attrs.field(factory=set)
     exchanges: int = 0
+    lose: int = 0
 
     def __attrs_post_init__(self):
         for address in ('d1', 'd2', 'd3'):
@@ -43,6 +44,9 @@
         # What passes between hosts must survive being written as JSON.
         sent = orjson.loads(orjson.dumps(plain))
         told = await self.deputies[address].exchange(sent)
+        if self.lose:
+            self.lose -= 1
+            raise errors.UnreachableError('the answer was lost')
         return orjson.loads(orjson.dumps(told))
 
 
@@ -145,9 +149,9 @@
         await celltest.until(lambda: cell.workers['w0'].token > former)
         row = [7, relayed.HOLD, 'w0', 'w0', former, 0, None, 0, True]
         one = next(iter(peers.deputies.values()))
-        await one.exchange({'session': 's', 'calls': [row]})
+        await one.exchange({'session': 's', 'calls': [row], 'taken': 0})
         await asyncio.sleep(0.1)
-        told = await one.exchange({'session': 's', 'calls': []})
+        told = await one.exchange({'session': 's', 'calls': [], 'taken': 0})
         assert told['answers'] == [[7, ['verdict', 'fenced']]]
 
     _play(scenario)
@@ -170,11 +174,15 @@
 
         made = deputy.Deputy(lambda name, address: _Endless(closed))
         row = [1, relayed.HOLD, 'w', 'a', 1, 0, None, 0, True]
-        first = await made.exchange({'session': 'a', 'calls': [row]})
-        again = await made.exchange({'session': 'a', 'calls': []})
+        first = await made.exchange({
+            'session': 'a',
+            'calls': [row],
+            'taken': 0,
+        })
+        again = await made.exchange({'session': 'a', 'calls': [], 'taken': 0})
         assert (first['fresh'], again['fresh']) == (True, False)
         await asyncio.sleep(deputy.SESSION_IDLE + 1)
-        await made.exchange({'session': 'b', 'calls': []})
+        await made.exchange({'session': 'b', 'calls': [], 'taken': 0})
         assert len(closed) == 1
 
     virtualtime.run(main)
@@ -187,3 +195,17 @@
         assert keys.progress('j0') in cell.store.data
 
     _play(scenario)
+
+
+def test_an_exchange_whose_answer_was_lost_is_repeated():
+    async def scenario(cell):
+        made, peers, relays = await _lead(cell)
+        names = _submit(cell, 2)
+        await celltest.until(lambda: celltest.runs_of(cell, 'j0'))
+        used = relays.route('w0')
+        peers.lose = 1
+        await _completed(made, names)
+        assert relays.route('w0') is used
+        assert all(len(celltest.runs_of(cell, name)) == 3 for name in names)
+
+    _play(scenario)
