Keep of a job that is over only how it ended; read long listings patiently

- of a job that is over, the progress record keeps its state, and the records of its submission and cancelling are deleted in the same commit; a submission expects both keys to be absent, so a late copy runs nothing.
- done tasks are kept as indices.
- each part of a listing renews its time limit.
- a payload crosses the way to a deputy once for a job.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/acceptance.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/acceptance.py
@@ -60,11 +60,11 @@
     election: elector.Elector
     _paths: dict[str, _Path] = attrs.field(factory=dict)
 
-    async def create(self, key: str, body: bytes, due: float) -> Outcome:
-        """Write a key unless it exists; the first writer's body stays."""
+    async def create(self, job: str, body: bytes, due: float) -> Outcome:
+        """Write a job unless it is known; the first writer's body stays."""
         unknown = False
         while clock.now() < due:
-            outcome = await self._create_once(key, body, due)
+            outcome = await self._create_once(job, body, due)
             if outcome is Outcome.STORED:
                 return outcome
             unknown = unknown or outcome is Outcome.UNKNOWN
@@ -88,28 +88,21 @@
             await asyncio.sleep(min(SETTLE_PAUSE, max(0, due - clock.now())))
         return outcome
 
-    async def _create_once(self, key: str, body: bytes, due: float) -> Outcome:
-        direct = await self._try(OWN_PATH, self._write(key, body), due)
+    async def _create_once(self, job: str, body: bytes, due: float) -> Outcome:
+        write = create_job(self.store, job, body)
+        direct = await self._try(OWN_PATH, write, due)
         if direct is Outcome.STORED:
             return direct
         leader = self.election.leader
         if not leader or leader == self.network.address:
             return direct
         # The leader may reach a store that turns this host away.
-        relayed = self.network.store(leader, key, body)
+        relayed = self.network.store(leader, job, body)
         other = await self._try(leader, relayed, due)
         if Outcome.UNKNOWN in {direct, other} and other is not Outcome.STORED:
             return Outcome.UNKNOWN
         return other
 
-    async def _write(self, key: str, body: bytes) -> None:
-        wanted = ports.Transaction(expects={key: 0}, puts={key: body})
-        try:
-            await self.store.commit(wanted)
-        except errors.ConflictError:
-            # It is there already: the first one stays.
-            return
-
     async def _try(
         self, name: str, write: abc.Coroutine, due: float
     ) -> Outcome:
@@ -143,3 +136,20 @@
             # A job's record never changes: it was forgotten meanwhile.
             return Outcome.NO_SUCH_JOB
         return Outcome.STORED
+
+
+async def create_job(store: ports.Store, job: str, body: bytes) -> bool:
+    """Write a job that must not be known; False if it is.
+
+    Once a job is over only its progress is left, which keeps a late copy of
+    its submission from running it again.
+    """
+    key = keys.job(job)
+    wanted = ports.Transaction(
+        expects={key: 0, keys.progress(job): 0}, puts={key: body}
+    )
+    try:
+        await store.commit(wanted)
+    except errors.ConflictError:
+        return False
+    return True
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
@@ -130,6 +130,12 @@
         """Say whether nothing of the job will start again."""
         return self.state in progress.ENDED_STATES
 
+    @property
+    def is_over(self) -> bool:
+        """Say whether the job has ended and nothing of it runs any more."""
+        runs = any(group.placed for group in self.groups.values())
+        return self.is_ended and not runs
+
 
 @attrs.define(eq=False)
 class Book:
@@ -304,30 +310,37 @@
 
 
 def progress_of(job: Job) -> progress.Progress:
-    """Return a job's record: its state, and the tasks that were ever placed."""
-    tasks = {
-        _key(group, task.name.index): progress.TaskProgress(
-            task.state,
-            task.run,
-            task.worker,
-            task.life,
-            task.failures,
-            task.checkpoint,
-        )
-        for group in job.groups.values()
-        for task in group.tasks
-        if task.run
-    }
-    gangs = {
-        _key(group): group.failures
-        for group in job.groups.values()
-        if group.failures
-    }
-    return progress.Progress(job.state, tasks, gangs)
-
-
-def _key(group: Group, *index: int) -> str:
-    return '.'.join(map(str, (group.occurrence, group.index, *index)))
+    """Return a job's record; of one that is over, only how it ended."""
+    made = progress.Progress(job.state)
+    if job.is_over:
+        return made
+    for group in job.groups.values():
+        if group.failures:
+            made.gangs[_key(group)] = group.failures
+        done = []
+        for task in group.tasks:
+            if task.state is progress.TaskState.DONE:
+                done.append(task.name.index)
+            elif task.run:
+                made.tasks[task.name.label] = _row(task)
+        if done:
+            made.done[_key(group)] = done
+    return made
+
+
+def _row(task: Task) -> progress.TaskProgress:
+    return progress.TaskProgress(
+        task.state,
+        task.run,
+        task.worker,
+        task.life,
+        task.failures,
+        task.checkpoint,
+    )
+
+
+def _key(group: Group) -> str:
+    return f'{group.occurrence}.{group.index}'
 
 
 def _open(job: Job, occurrence: int) -> None:
@@ -357,14 +370,16 @@
 
 
 def _restore_group(group: Group, record: progress.Progress) -> None:
-    group.failures = record.gangs.get(_key(group), 0)
+    key = _key(group)
+    group.failures = record.gangs.get(key, 0)
+    for index in record.done.get(key, ()):
+        group.tasks[index].state = progress.TaskState.DONE
+        group.done += 1
     for task in group.tasks:
-        row = record.tasks.get(_key(group, task.name.index))
-        if row is None:
-            continue
-        _restore_task(task, row)
-        group.placed += task.state is progress.TaskState.PLACED
-        group.done += task.state is progress.TaskState.DONE
+        row = record.tasks.get(task.name.label)
+        if row is not None:
+            _restore_task(task, row)
+            group.placed += task.state is progress.TaskState.PLACED
 
 
 def _restore_task(task: Task, row: progress.TaskProgress) -> None:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/cell.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/cell.py
@@ -72,8 +72,16 @@
         return self.began + HOLD_ON + lease + fleet.LEASE_MARGIN
 
     def save(self, job: book.Job) -> None:
-        """Write the job's progress with the next commit."""
-        self.commits.put(keys.progress(job.spec.job), book.JobRecord(job))
+        """Write the job's progress with the next commit.
+
+        Of a job that is over no more is kept than how it ended, so that the
+        next leader has little to read.
+        """
+        name = job.spec.job
+        self.commits.put(keys.progress(name), book.JobRecord(job))
+        if job.is_over:
+            self.commits.put(keys.job(name), committer.Deletion())
+            self.commits.put(keys.cancel(name), committer.Deletion())
 
     def queue_of(self, job: book.Job) -> jobspec.Queue | None:
         """Return the job's queue; one that was dropped is remembered."""
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/deputy.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/deputy.py
@@ -30,6 +30,7 @@
     taken: int = 0
     answers: list = attrs.field(factory=list)
     tasks: set[asyncio.Task] = attrs.field(factory=set)
+    payloads: relayed.Payloads = attrs.field(factory=relayed.Payloads)
 
     def confirm(self, taken: int) -> None:
         """Drop the answers that the leader has."""
@@ -100,5 +101,5 @@
     kind: str,
     row: list,
 ) -> None:
-    answer = await relayed.make(calls, kind, row)
+    answer = await relayed.make(calls, kind, row, session.payloads)
     session.answers.append([number, answer])
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/door.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/door.py
@@ -154,7 +154,7 @@
         except errors.InvalidInputError as exc:
             return self.form.error_reply(http.HTTPStatus.BAD_REQUEST, str(exc))
         outcome = await self.acceptance.create(
-            keys.job(spec.job), records.encode_job(spec), call.due
+            spec.job, records.encode_job(spec), call.due
         )
         logs.decision(
             'submitted',
@@ -223,9 +223,11 @@
         told = await self.store.get(keys.progress(job))
         if told is not None and told.body is not None:
             return progress.parse(told.body).state
-        if await self.store.get(keys.job(job)) is None:
-            return None
-        return progress.JobState.QUEUED
+        if await self.store.get(keys.job(job)) is not None:
+            return progress.JobState.QUEUED
+        # It may have begun and ended between the two questions.
+        told = await self.store.get(keys.progress(job))
+        return progress.parse(told.body).state if told and told.body else None
 
     async def _count(self, call: _Call) -> httpmessage.Reply:
         mine = self.current_term()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/housekeeping.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/housekeeping.py
@@ -33,8 +33,7 @@
         for job in list(known.live.values()):
             if orphaned:
                 self.roster.release_orphans(job)
-            placed = any(group.placed for group in job.groups.values())
-            if job.is_ended and not placed:
+            if job.is_over:
                 known.live.pop(job.spec.job)
         kept = self.cell.around.status_kept + FORGET_SLACK
         for job in list(known.jobs.values()):
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/inbox.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/inbox.py
@@ -36,13 +36,21 @@
         """Read all that is recorded; return the feed that follows it."""
         inbox, revision = await self._insist(keys.INBOX)
         recorded, _ = await self._insist(keys.PROGRESS)
-        told = {item.key: item.body for item in recorded}
+        told = {
+            item.key.removeprefix(keys.PROGRESS): item.body
+            for item in recorded
+            if item.body is not None
+        }
         for number, item in enumerate(inbox):
             if item.key.startswith(keys.JOBS) and item.body is not None:
-                self._load_job(item, told)
+                name = item.key.removeprefix(keys.JOBS)
+                self._load_job(name, item.body, told.pop(name, None))
             if number % LOAD_SLICE == 0:
                 # Others take a leader that does not commit for gone.
                 await asyncio.sleep(0)
+        for name, body in told.items():
+            # Its job's own record is gone: the job is over.
+            self.cell.book.add_ended(name, progress.parse(body).state)
         for item in inbox:
             self._take(item.key, item)
         logs.belief(
@@ -66,17 +74,12 @@
                 logs.dependency('store', lost=True, why=str(exc))
                 await asyncio.sleep(committer.RETRY_MOST)
 
-    def _load_job(
-        self, item: ports.Item, told: dict[str, bytes | None]
-    ) -> None:
-        name = item.key.removeprefix(keys.JOBS)
-        body = told.get(keys.progress(name))
-        record = progress.parse(body) if body else None
+    def _load_job(self, name: str, body: bytes, told: bytes | None) -> None:
+        record = progress.parse(told) if told else None
         if record is not None and record.is_over():
             self.cell.book.add_ended(name, record.state)
         else:
-            spec = records.decode_job(item.body or b'')
-            self.cell.book.add(spec, record)
+            self.cell.book.add(records.decode_job(body), record)
 
     def _take(self, key: str, item: ports.Item | None) -> None:
         if item is None or item.body is None:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/peercalls.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/peercalls.py
@@ -8,11 +8,11 @@
 
 from jujubebend import errors
 from jujubebend_cluster import (
+    acceptance,
     advicedesk,
     clock,
     deputy,
     greeters,
-    keys,
     peers,
     ports,
     term,
@@ -84,17 +84,10 @@
         return current
 
     async def _store(self, plain: dict) -> dict:
-        key = plain['key']
-        if not key.startswith(keys.JOBS):
-            raise errors.RefusedError(f'{key}: only jobs are stored for peers')
-        wanted = ports.Transaction(
-            expects={key: 0}, puts={key: plain['body'].encode()}
+        created = await acceptance.create_job(
+            self.store, plain['job'], plain['body'].encode()
         )
-        try:
-            await self.store.commit(wanted)
-        except errors.ConflictError:
-            return {'created': False}
-        return {'created': True}
+        return {'created': created}
 
     async def _advise(self, plain: dict) -> dict:
         if self.advisor is None:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
@@ -68,9 +68,9 @@
         plain = await self._call(address, 'count', {'queue': queue})
         return plain['waiting']
 
-    async def store(self, address: str, key: str, body: bytes) -> bool:
-        """Have a peer write a key that must not exist; False if it does."""
-        plain = {'key': key, 'body': body.decode()}
+    async def store(self, address: str, job: str, body: bytes) -> bool:
+        """Have a peer write a job that must not be known; False if it is."""
+        plain = {'job': job, 'body': body.decode()}
         return (await self._call(address, 'store', plain))['created']
 
     async def advise(
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/progress.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/progress.py
@@ -35,7 +35,7 @@
 
 
 class TaskProgress(typing.NamedTuple):
-    """What is kept of one task that was ever placed."""
+    """What is kept of a task that was placed and is not done."""
 
     state: TaskState
     run: int
@@ -47,11 +47,17 @@
 
 @attrs.frozen
 class Progress:
-    """A job's record; keys name a task or a gang within the job."""
+    """A job's record.
+
+    ``tasks`` is by ``OCCURRENCE.STEP.INDEX``; ``gangs``, failures of whole
+    gangs, and ``done``, the indices of tasks that are, by
+    ``OCCURRENCE.STEP``. Once a job is over, only its state is kept.
+    """
 
     state: JobState
     tasks: dict[str, TaskProgress] = attrs.field(factory=dict)
     gangs: dict[str, int] = attrs.field(factory=dict)
+    done: dict[str, list[int]] = attrs.field(factory=dict)
 
     def is_over(self) -> bool:
         """Say whether the job has ended and nothing of it runs any more."""
@@ -60,29 +66,33 @@
 
     def occurrences(self) -> list[int]:
         """Return the occurrences of which a task was ever placed."""
-        return sorted({int(key.partition('.')[0]) for key in self.tasks})
+        keys = (*self.tasks, *self.done)
+        return sorted({int(key.partition('.')[0]) for key in keys})
 
     def encode(self) -> bytes:
         """Return the record as the store keeps it."""
+        tasks = {
+            key: (row.state.value, *row[1:]) for key, row in self.tasks.items()
+        }
         plain = {
             'state': self.state.value,
-            'tasks': {
-                key: (row.state.value, *row[1:])
-                for key, row in self.tasks.items()
-            },
+            'tasks': tasks,
             'gangs': self.gangs,
+            'done': self.done,
         }
-        return orjson.dumps(plain)
+        return orjson.dumps({key: kept for key, kept in plain.items() if kept})
 
 
 def parse(body: bytes) -> Progress:
     """Read what ``Progress.encode`` wrote."""
     plain = orjson.loads(body)
+    tasks = plain.get('tasks', {})
     return Progress(
         JobState(plain['state']),
         {
             key: TaskProgress(TaskState(row[0]), *row[1:])
-            for key, row in plain['tasks'].items()
+            for key, row in tasks.items()
         },
-        plain['gangs'],
+        plain.get('gangs', {}),
+        plain.get('done', {}),
     )
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
@@ -43,6 +43,7 @@
     exchange: Exchange
     pause: abc.Callable[[], float]
     failed: bool = False
+    payloads: relayed.Payloads = attrs.field(factory=relayed.Payloads)
     _session: str = attrs.field(
         factory=lambda: f'{random.getrandbits(SESSION_BITS):016x}'
     )
@@ -105,6 +106,7 @@
             # The deputy began anew: it knows nothing of earlier calls.
             self._give_up(before)
             self._taken = 0
+            self.payloads = relayed.Payloads()
         self._begun = True
         self._taken += len(told['answers'])
         for number, answer in told['answers']:
@@ -210,7 +212,7 @@
         route = self.relays.route(self.worker)
         if route is None:
             return await self._calls().start(order)
-        row = relayed.start_row(order)
+        row = relayed.start_row(order, route.payloads)
         return await self._ask(route, relayed.START, row, ORDER_LIMIT)
 
     async def stop(self, task, run: int, token: int) -> ports.Verdict:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/relayed.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/relayed.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import attrs
+
 from jujubebend import errors
 from jujubebend_cluster import jobspec, ports
 
@@ -10,6 +12,8 @@
 PACE = 'pace'
 HOLD = 'hold'
 
+MOST_PAYLOADS = 500  # of some 500 bytes each, known on each side of a route
+
 _VERDICT = 'verdict'
 _LOOK = 'look'
 _LOST = 'lost'
@@ -20,12 +24,46 @@
     return [task.job, task.occurrence, task.step, task.index]
 
 
-def start_row(order: ports.StartOrder) -> list:
+@attrs.define(eq=False)
+class Payloads:
+    """The payloads of jobs that both sides of a route know.
+
+    A job has many tasks and one payload, which crosses a route once. Both
+    sides keep as many, and drop the oldest first.
+    """
+
+    _known: dict[str, str] = attrs.field(factory=dict)
+
+    def shorten(self, job: str, payload: str) -> str | None:
+        """Return what to send: nothing where the other side knows it."""
+        if job in self._known:
+            return None
+        self._keep(job, payload)
+        return payload
+
+    def restore(self, job: str, sent: str | None) -> str:
+        """Return the payload that was meant.
+
+        Raises ``UnreachableError`` where this side began anew meanwhile.
+        """
+        if sent is not None:
+            self._keep(job, sent)
+        elif job not in self._known:
+            raise errors.UnreachableError(f'{job}: its payload is not known')
+        return self._known[job]
+
+    def _keep(self, job: str, payload: str) -> None:
+        self._known[job] = payload
+        if len(self._known) > MOST_PAYLOADS:
+            self._known.pop(next(iter(self._known)))
+
+
+def start_row(order: ports.StartOrder, payloads: Payloads) -> list:
     """Return an order to start as a row."""
     return [
         name_row(order.task),
         order.run,
-        order.payload,
+        payloads.shorten(order.task.job, order.payload),
         order.until,
         order.token,
         order.checkpoint,
@@ -33,10 +71,15 @@
     ]
 
 
-async def make(calls: ports.WorkerCalls, kind: str, row: list) -> list:
-    """Make the call that a row describes; return its answer as a row."""
+async def make(
+    calls: ports.WorkerCalls, kind: str, row: list, payloads: Payloads
+) -> list:
+    """Make the call that a row describes; return its answer as a row.
+
+    Calls must be begun in the order of their rows.
+    """
     try:
-        answer = await _make(calls, kind, row)
+        answer = await _make(calls, kind, row, payloads)
     except errors.JujubebendError as exc:
         return [_LOST, str(exc)]
     if isinstance(answer, ports.Verdict):
@@ -68,17 +111,20 @@
 
 
 async def _make(
-    calls: ports.WorkerCalls, kind: str, row: list
+    calls: ports.WorkerCalls, kind: str, row: list, payloads: Payloads
 ) -> ports.Look | ports.Verdict:
     if kind == HOLD:
         token, seen, until, wait, whole = row
         return await calls.hold(token, seen, until, wait, whole=whole)
-    task = jobspec.TaskName(*row[0])
+    name, *rest = row
+    task = jobspec.TaskName(*name)
     if kind == START:
-        return await calls.start(ports.StartOrder(task, *row[1:]))
+        run, sent, *rest = rest
+        payload = payloads.restore(task.job, sent)
+        return await calls.start(ports.StartOrder(task, run, payload, *rest))
     if kind == STOP:
-        return await calls.stop(task, *row[1:])
-    return await calls.pace(task, *row[1:])
+        return await calls.stop(task, *rest)
+    return await calls.pace(task, *rest)
 
 
 def _running_row(one: ports.Running) -> list:
--- a/packages/jujubebend-http/src/jujubebend_http/httpclient.py
+++ b/packages/jujubebend-http/src/jujubebend_http/httpclient.py
@@ -22,6 +22,13 @@
     writer: asyncio.StreamWriter
     http: h11.Connection
     used_at: float = 0
+    limit: asyncio.Timeout | None = None
+    seconds: float = 0
+
+    def renew(self) -> None:
+        if self.limit is not None:
+            now = asyncio.get_running_loop().time()
+            self.limit.reschedule(now + self.seconds)
 
     def close(self) -> None:
         self.writer.close()
@@ -55,12 +62,18 @@
         *,
         timeout: float,
         headers: dict[str, str] | None = None,
+        is_long: bool = False,
     ) -> httpmessage.Reply:
-        """Send a request and return the whole reply."""
+        """Send a request and return the whole reply.
+
+        Each part of a reply that ``is_long`` renews the time limit.
+        """
         conn: _Connection | None = None
         try:
-            async with asyncio.timeout(timeout), self._room:
+            async with asyncio.timeout(timeout) as limit, self._room:
                 conn = await self._connect()
+                conn.limit = limit if is_long else None
+                conn.seconds = timeout
                 return await self._exchange(conn, method, target, body, headers)
         except (TimeoutError, OSError, h11.ProtocolError) as exc:
             cause = f'{type(exc).__name__} {exc}'.strip()
@@ -158,6 +171,7 @@
     size = 0
     while True:
         event = await receiver.next_event()
+        conn.renew()
         match event:
             case h11.Response():
                 status = event.status_code
--- a/tests/cluster/test_acceptance.py
+++ b/tests/cluster/test_acceptance.py
@@ -26,12 +26,10 @@
     address: str = 'me:1'
     elsewhere: fakecell.Store | None = None
 
-    async def store(self, address, key, body):
+    async def store(self, address, job, body):
         if self.elsewhere is None:
             raise errors.RefusedError(address)
-        await self.elsewhere.get(key)
-        self.elsewhere.put(key, body)
-        return True
+        return await acceptance.create_job(self.elsewhere, job, body)
 
 
 def _play(scenario):
@@ -45,7 +43,7 @@
 
 
 def _create(made, seconds=3.0):
-    return made.create(keys.job('j'), b'first', clock.now() + seconds)
+    return made.create('j', b'first', clock.now() + seconds)
 
 
 def test_a_job_is_accepted_once_it_is_stored():
@@ -59,7 +57,7 @@
 def test_the_same_job_again_is_one_job():
     async def scenario(store, network, made):
         await _create(made)
-        again = made.create(keys.job('j'), b'second', clock.now() + 3)
+        again = made.create('j', b'second', clock.now() + 3)
         assert await again is STORED
         assert store.data[keys.job('j')].body == b'first'
 
@@ -103,15 +101,13 @@
         began = clock.now()
         refused = 0
         for number in range(20):
-            key = keys.job(f'k{number}')
+            key = f'k{number}'
             outcome = await made.create(key, b'x', began + 0.1)
             refused += outcome is REFUSED
         assert refused >= 18
         store.mute = False
         await asyncio.sleep(acceptance.PROBE_PAUSE)
-        assert await made.create(keys.job('l'), b'x', clock.now() + 1) is (
-            STORED
-        )
+        assert await made.create('l', b'x', clock.now() + 1) is (STORED)
         assert await first is STORED
 
     _play(scenario)
--- /dev/null
+++ b/tests/cluster/test_progress.py
@@ -0,0 +1,61 @@
+"""What is kept of a job, and that it is read back whole."""
+
+from __future__ import annotations
+
+from jujubebend_cluster import book, jobspec, progress
+from tests import fakecell
+
+STEPS = (
+    jobspec.Step(3, jobspec.Demand(1_000, 1), 1.0),
+    jobspec.Step(2, jobspec.Demand(1_000, 1), 1.0, gang=True),
+)
+
+
+def _job():
+    return book.Book().add(fakecell.job('j', *STEPS))
+
+
+def _worked():
+    known = book.Book()
+    job = known.add(fakecell.job('j', *STEPS))
+    first, second, _ = job.groups[0, 0].tasks
+    known.place(first, 'w1', 7, 1)
+    known.place(second, 'w2', 8, 2)
+    known.ended(first, book.ports.Ending.DONE, '', 3)
+    known.ended(second, book.ports.Ending.FAILED, 'saved', 3)
+    known.place(second, 'w3', 9, 3)
+    job.groups[0, 1].failures = 2
+    return job
+
+
+def test_progress_is_read_back_whole():
+    job = _worked()
+    body = book.progress_of(job).encode()
+    record = progress.parse(body)
+    assert not record.is_over()
+    again = book.Book().add(job.spec, record)
+    assert book.progress_of(again) == book.progress_of(job)
+    assert again.state is progress.JobState.RUNNING
+    group = again.groups[0, 0]
+    assert (group.done, group.placed, group.waiting) == (1, 1, 1)
+    task = group.tasks[1]
+    assert (task.worker, task.life, task.run) == ('w3', 9, 3)
+    assert (task.failures, task.checkpoint) == (1, 'saved')
+    assert again.groups[0, 1].failures == 2
+
+
+def test_a_job_that_never_began_has_a_short_record():
+    record = progress.parse(book.progress_of(_job()).encode())
+    assert record == progress.Progress(progress.JobState.QUEUED)
+    assert not record.occurrences()
+
+
+def test_an_ended_job_is_over_once_nothing_of_it_runs():
+    job = _worked()
+    book.Book().cancel(job, 1)
+    assert not progress.parse(book.progress_of(job).encode()).is_over()
+    for task in job.groups[0, 0].tasks:
+        book.Book().release(task)
+    record = progress.parse(book.progress_of(job).encode())
+    assert record == progress.Progress(progress.JobState.CANCELLED)
+    assert record.is_over()
--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -7,7 +7,14 @@
 
 import pytest
 
-from jujubebend_cluster import inbox, jobspec, keys, ports
+from jujubebend_cluster import (
+    acceptance,
+    inbox,
+    jobspec,
+    keys,
+    ports,
+    records,
+)
 from tests import fakecell
 from tests.cluster import celltest
 
@@ -370,6 +377,45 @@
         assert celltest.shown(made, 'j') == 'completed'
         await asyncio.sleep(60)
         assert celltest.shown(made, 'j') is None
-        assert keys.job('j') not in cell.store.data
+        assert keys.progress('j') not in cell.store.data
+
+    celltest.play(scenario)
+
+
+def test_of_a_job_that_is_over_only_its_end_is_kept():
+    async def scenario(cell):
+        made = await cell.lead()
+        spec = fakecell.job('j')
+        cell.submit(spec)
+        await celltest.until(lambda: celltest.shown(made, 'j') == 'completed')
+        await celltest.until(lambda: keys.job('j') not in cell.store.data)
+        assert len(cell.store.data[keys.progress('j')].body) < 30
+        # A copy of the submission that comes late is the same job.
+        body = records.encode_job(spec)
+        assert not await acceptance.create_job(cell.store, 'j', body)
+        await cell.kill()
+        later = await cell.lead(2)
+        await celltest.until(lambda: later.loaded)
+        assert celltest.shown(later, 'j') == 'completed'
+        await asyncio.sleep(3)
+        assert len(celltest.runs_of(cell, 'j')) == 1
+
+    celltest.play(scenario)
+
+
+def test_a_cancelled_job_is_kept_until_its_tasks_are_gone():
+    async def scenario(cell):
+        made = await cell.lead()
+        cell.submit(fakecell.job('j', jobspec.Step(3, DEMAND, 5.0)))
+        await celltest.until(lambda: len(celltest.runs_of(cell, 'j')) == 3)
+        for worker in cell.workers.values():
+            worker.mute = True
+        cell.cancel('j')
+        await celltest.until(lambda: celltest.shown(made, 'j') == 'cancelled')
+        assert keys.job('j') in cell.store.data
+        for worker in cell.workers.values():
+            worker.mute = False
+        await celltest.until(lambda: keys.job('j') not in cell.store.data)
+        assert celltest.shown(made, 'j') == 'cancelled'
 
     celltest.play(scenario)
