Send a start only for the run that it was planned for; harm paths in the soak

The task was released and planned elsewhere as run 2; when the store had answered, the start of run 1 woke, took run 2 for its own, and gave it up because "its worker changed", without vacating the worker of run 2. A start now carries the run that it is for.

Ruled out: the relay (five workers, not used), the new records (all 63 jobs ended once). Test: test_a_start_that_was_planned_for_a_former_run_is_not_sent fails before ([('w2', 3)] instead of [('w2', 2)]).

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/orders.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/orders.py
@@ -15,20 +15,29 @@
     logs,
     ports,
     progress,
-    seats,
 )
 
 
+@attrs.frozen
+class Start:
+    """One run of a task that is to be started."""
+
+    task: book.Task
+    worker: fleet.Worker
+    run: int
+    ticket: str = ''
+
+
 @attrs.define(eq=False)
 class Orders:
     """Sends orders to workers and takes their verdicts."""
 
     cell: cell.Cell
 
-    async def start_all(self, placements: list[seats.Placement]) -> None:
+    async def start_all(self, starts: list[Start]) -> None:
         """Start tasks once their placement is stored."""
         await self.cell.commits.flush()
-        await asyncio.gather(*(self._start(one) for one in placements))
+        await asyncio.gather(*(self._start(one) for one in starts))
 
     def stop(self, task: book.Task, why: str) -> None:
         """Stop a task's run; its end will be listed by its worker."""
@@ -72,10 +81,10 @@
             self.withdraw_group(task.group)
         self.cell.save(task.group.job)
 
-    async def _start(self, placement: seats.Placement) -> None:
-        task, worker = placement.task, placement.worker
-        run = task.run
-        if task.state is not progress.TaskState.PLACED:
+    async def _start(self, start: Start) -> None:
+        task, worker, run = start.task, start.worker, start.run
+        if not _stands(task, run):
+            # The run was given up, and perhaps another planned, meanwhile.
             return
         if task.stopping:
             self.release(worker, task, 'withdrawn before its start')
@@ -87,8 +96,8 @@
         made = self.cell.links[worker.name]
         ready = task.group.ready_at or clock.now()
         self.cell.numbers.observe('start_wait', clock.now() - ready)
-        verdict = await made.start(task, placement.ticket)
-        if task.run != run or task.state is not progress.TaskState.PLACED:
+        verdict = await made.start(task, start.ticket)
+        if not _stands(task, run):
             return
         outcome = verdict.value if verdict else 'unknown'
         self.cell.numbers.count('starts', outcome=outcome)
@@ -121,6 +130,10 @@
         self.stop(task, f'its start was refused: {verdict.value}')
 
 
+def _stands(task: book.Task, run: int) -> bool:
+    return task.run == run and task.state is progress.TaskState.PLACED
+
+
 def _is_current(task: book.Task, worker: fleet.Worker) -> bool:
     ready = worker.entry.state is ports.WorkerState.READY
     return ready and task.life == worker.entry.born
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
@@ -58,16 +58,17 @@
 
     def _place(self, placements: list[seats.Placement], now: float) -> None:
         runs = _next_runs(placements)
+        starts = []
         for placement in placements:
             task, worker = placement.task, placement.worker
-            self.cell.book.place(
-                task, worker.name, worker.entry.born, runs[task.name]
-            )
+            run = runs[task.name]
+            self.cell.book.place(task, worker.name, worker.entry.born, run)
             task.placed_at = now
             task.moved_at = now
             task.rank = placement.rank
             self.cell.save(task.group.job)
-        self.cell.spawn(self.orders.start_all(placements))
+            starts.append(orders.Start(task, worker, run, placement.ticket))
+        self.cell.spawn(self.orders.start_all(starts))
 
     def _ready_groups(self, now: float, unix: float) -> list[seats.Want]:
         ready = []
--- a/packages/jujubebend-standin/src/jujubebend_standin/fleet/site.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/fleet/site.py
@@ -15,7 +15,7 @@
 from jujubebend import errors
 from jujubebend_http import httpclient, httpserver
 from jujubebend_standin import ports
-from jujubebend_standin.fleet import kv, worker
+from jujubebend_standin.fleet import kv, proxy, worker
 
 LOOPBACK = '127.0.0.1'
 PORTS_PER_HOST = 6
@@ -67,6 +67,7 @@
     settings: pathlib.Path
     log: pathlib.Path
     process: asyncio.subprocess.Process | None = None
+    is_harmed: bool = False
 
     async def begin(self) -> None:
         """Start the daemon."""
@@ -96,13 +97,18 @@
 
 @attrs.define(eq=False)
 class Site:
-    """Store, workers and daemons; ``folder`` keeps settings and logs."""
+    """Store, workers and daemons; ``folder`` keeps settings and logs.
+
+    Each host has a path of its own to the store, and all share one to each
+    worker; ``paths`` are the proxies on them.
+    """
 
     folder: pathlib.Path
     seed: int = 1
     store: kv.KvStore = attrs.field(init=False)
     workers: list[worker.FleetWorker] = attrs.field(factory=list)
     hosts: list[Host] = attrs.field(factory=list)
+    paths: list[proxy.Proxy] = attrs.field(factory=list)
     _addresses: dict[str, str] = attrs.field(factory=dict)
     _servers: list[httpserver.Server] = attrs.field(factory=list)
 
@@ -116,11 +122,13 @@
         for number in range(workers):
             made = worker.FleetWorker(f'i-{number:08x}', cpu)
             self.workers.append(made)
-            self._addresses[made.name] = await self._serve(made.handle)
+            worker_address = await self._serve(made.handle)
+            self._addresses[made.name] = await self._lead_to(worker_address)
             self.list_worker(made)
         self.store.put('op/config', TEXT)
         for number in range(hosts):
-            host = self._make_host(f'host-{number}', address)
+            path = await self._lead_to(address)
+            host = self._make_host(f'host-{number}', path)
             self.hosts.append(host)
             await host.begin()
         await asyncio.gather(*(wait_ready(host) for host in self.hosts))
@@ -145,9 +153,17 @@
         """End the daemons, then the platform."""
         for host in self.hosts:
             await host.end()
+        for path in self.paths:
+            await path.stop()
         for server in self._servers:
             await server.stop(0)
 
+    async def _lead_to(self, address: str) -> str:
+        """Return an address that leads there on a path that can be harmed."""
+        made = proxy.Proxy(address)
+        self.paths.append(made)
+        return await made.start()
+
     async def _serve(self, handler: httpserver.Handler) -> str:
         server = httpserver.Server(handler)
         await server.start(LOOPBACK, 0)
--- a/packages/jujubebend-standin/src/jujubebend_standin/fleet/soak.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/fleet/soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import pathlib
 import random
 import signal
@@ -10,13 +11,15 @@
 
 import attrs
 
-from jujubebend_standin.fleet import checks, kv, load, site, worker
+from jujubebend_standin.fleet import checks, kv, load, proxy, site, worker
 
 HOSTS = 3
 WORKERS = 5
 CPU = 8_000
 BETWEEN_JOBS = (0.05, 0.3)  # seconds
-BETWEEN_FAULTS = (0.2, 1.5)  # seconds
+BETWEEN_FAULTS = (0.2, 2.5)  # seconds; the last take longer, so some overlap
+PATH_DELAY = (0.02, 0.3)  # seconds
+HOST_PAUSE = 0.1  # seconds between looks for a host without a fault
 SETTLE_LIMIT = 60.0  # seconds for every accepted job to end after the faults
 
 
@@ -44,8 +47,7 @@
         try:
             await self.place.begin(HOSTS, WORKERS, CPU)
             feeding = asyncio.create_task(self._feed())
-            for _ in range(self.faults):
-                await self._one_fault()
+            await self._harm()
             # Callers whose answer is out are waited for: cancelled halfway,
             # they would not know whether their job was accepted.
             self.stopped = True
@@ -80,6 +82,13 @@
                 )
                 await asyncio.sleep(self.chance.uniform(*BETWEEN_JOBS))
 
+    async def _harm(self) -> None:
+        """Let faults come one after the other, the last ones overlapping."""
+        async with asyncio.TaskGroup() as group:
+            for _ in range(self.faults):
+                group.create_task(self._one_fault())
+                await asyncio.sleep(self.chance.uniform(*BETWEEN_FAULTS))
+
     async def _one_fault(self) -> None:
         fault = self.chance.choice((
             self._kill,
@@ -91,33 +100,51 @@
             self._worker_silent,
             self._worker_reborn,
             self._starts_lost,
+            self._path_slow,
+            self._path_cut,
+            self._path_reset,
+            self._path_silent,
         ))
         self.done.append(fault.__name__.strip('_'))
         await fault()
-        await asyncio.sleep(self.chance.uniform(*BETWEEN_FAULTS))
 
-    def _host(self) -> site.Host:
-        return self.chance.choice(self.place.hosts)
+    @contextlib.asynccontextmanager
+    async def _a_host(self):  # noqa: ANN202
+        """Give a host that no other fault has hold of, once there is one."""
+        while True:
+            whole = [one for one in self.place.hosts if not one.is_harmed]
+            if whole:
+                break
+            await asyncio.sleep(HOST_PAUSE)
+        host = self.chance.choice(whole)
+        host.is_harmed = True
+        try:
+            yield host
+        finally:
+            host.is_harmed = False
+
+    def _path(self) -> proxy.Proxy:
+        return self.chance.choice(self.place.paths)
 
     def _worker(self) -> worker.FleetWorker:
         return self.chance.choice(self.place.workers)
 
     async def _kill(self) -> None:
-        host = self._host()
-        await host.end()
-        await asyncio.sleep(self.chance.uniform(0.1, 1))
-        await host.begin()
+        async with self._a_host() as host:
+            await host.end()
+            await asyncio.sleep(self.chance.uniform(0.1, 1))
+            await host.begin()
 
     async def _freeze(self) -> None:
-        host = self._host()
-        host.send(signal.SIGSTOP)
-        await asyncio.sleep(self.chance.uniform(0.5, 4))
-        host.send(signal.SIGCONT)
+        async with self._a_host() as host:
+            host.send(signal.SIGSTOP)
+            await asyncio.sleep(self.chance.uniform(0.5, 4))
+            host.send(signal.SIGCONT)
 
     async def _roll(self) -> None:
-        host = self._host()
-        await host.end(signal.SIGTERM)
-        await host.begin()
+        async with self._a_host() as host:
+            await host.end(signal.SIGTERM)
+            await host.begin()
 
     async def _store_away(self) -> None:
         which = self.chance.choice(('refuse', 'silent'))
@@ -147,6 +174,31 @@
         await asyncio.sleep(self.chance.uniform(least, most))
         one.faults = worker.WorkerFaults()
 
+    async def _path_slow(self) -> None:
+        path = self._path()
+        path.faults.delay = self.chance.uniform(*PATH_DELAY)
+        await asyncio.sleep(self.chance.uniform(0.5, 4))
+        path.faults.delay = 0
+
+    async def _path_cut(self) -> None:
+        path = self._path()
+        ways = self.chance.choice((
+            ('cut_there',),
+            ('cut_back',),
+            ('cut_there', 'cut_back'),
+        ))
+        for way in ways:
+            setattr(path.faults, way, True)
+        await asyncio.sleep(self.chance.uniform(0.5, 9))
+        for way in ways:
+            setattr(path.faults, way, False)
+
+    async def _path_reset(self) -> None:
+        self._path().reset()
+
+    async def _path_silent(self) -> None:
+        self._path().silence()
+
     async def _worker_reborn(self) -> None:
         one = self._worker()
         one.crash()
--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -419,3 +419,36 @@
         assert celltest.shown(made, 'j') == 'cancelled'
 
     celltest.play(scenario)
+
+
+def test_a_start_that_was_planned_for_a_former_run_is_not_sent():
+    """Soak seed 10 with 8 faults: a worker was reborn during a commit.
+
+    The start of the former run then took the next run, which was planned
+    elsewhere, for its own, and gave it up.
+    """
+
+    async def scenario(cell):
+        made = await cell.lead()
+        await celltest.until(lambda: made.loaded)
+        await asyncio.sleep(1)
+        first, second = cell.workers.values()
+        cell.list_worker(second, ports.WorkerState.DRAINING)
+        await asyncio.sleep(0.5)
+        cell.store.delay = 0.1
+        cell.submit(fakecell.job('j'))
+        await celltest.until(lambda: _runs(made) == [1])
+        first.crash(reborn=True)
+        made.cell.links['w1'].moved(first.entry())
+        made.cell.links['w2'].moved(second.entry())
+        made.cell.wake.set()
+        await celltest.until(lambda: celltest.shown(made, 'j') == 'completed')
+        starts = celltest.runs_of(cell, 'j')
+        assert [(name, run) for name, _, run in starts] == [('w2', 2)]
+
+    celltest.play(scenario)
+
+
+def _runs(made):
+    job = made.cell.book.jobs.get('j')
+    return [task.run for task in job.groups[0, 0].tasks] if job else []
