Wait for the first look at a new life before starting unanswered runs anew

The worker's new life has seen no token, so a late start could run there beside the run started elsewhere until the first look stopped it. Now such a task stays until the first look of the new life, sent with a higher token, lists it or does not.

Test: test_a_start_that_reaches_a_later_life_runs_nothing_twice fails before (w1 run 1 beside w2 run 2).

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/link.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/link.py
@@ -39,6 +39,10 @@
         """Hear that nothing of the worker's former life runs any more."""
         ...
 
+    def life_began(self, worker: fleet.Worker, why: str) -> None:
+        """Hear that a worker has begun a new life under its ID."""
+        ...
+
     def fenced(self, worker: fleet.Worker) -> None:
         """Hear that a worker has seen a later leader."""
         ...
@@ -267,7 +271,7 @@
         self._cleared = False
         self._lives += 1
         self._renew_token()
-        self.listener.life_ended(worker, why)
+        self.listener.life_began(worker, why)
 
     def _renew_token(self) -> None:
         # A later life has seen no token: a higher one keeps orders that
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/reports.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/reports.py
@@ -61,6 +61,26 @@
             self.orders.release(worker, task, why)
         self.cell.wake.set()
 
+    def life_began(self, worker: fleet.Worker, why: str) -> None:
+        """Release what ran in the former life.
+
+        A start that was never answered may still reach the new life, which
+        knows of no token before our first look: that look tells.
+        """
+        now = clock.now()
+        unsure = [
+            task
+            for task in worker.tasks.values()
+            if task.ordered and task.answered_at is None
+        ]
+        for task in unsure:
+            worker.vacate(task)
+        self.life_ended(worker, why)
+        for task in unsure:
+            worker.occupy(task)
+            task.life = worker.entry.born
+            task.answered_at = now
+
     def fenced(self, worker: fleet.Worker) -> None:
         """End the term: a worker has seen a later leader."""
         self.cell.end(f'{worker.name} has seen a later token')
--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -452,3 +452,26 @@
 def _runs(made):
     job = made.cell.book.jobs.get('j')
     return [task.run for task in job.groups[0, 0].tasks] if job else []
+
+
+def test_a_start_that_reaches_a_later_life_runs_nothing_twice():
+    async def scenario(cell):
+        made = await cell.lead()
+        await celltest.until(lambda: made.loaded)
+        await asyncio.sleep(1)
+        first, second = cell.workers.values()
+        cell.list_worker(second, ports.WorkerState.DRAINING)
+        await asyncio.sleep(0.5)
+        first.lose_starts = 1
+        cell.submit(fakecell.job('j'))
+        await celltest.until(lambda: first.late_starts)
+        first.crash(reborn=True)
+        cell.list_worker(second)
+        made.cell.links['w2'].moved(second.entry())
+        made.cell.links['w1'].moved(first.entry())
+        first.take_start(first.late_starts[0])
+        await celltest.until(lambda: celltest.shown(made, 'j') == 'completed')
+        starts = celltest.runs_of(cell, 'j')
+        assert [(name, run) for name, _, run in starts] == [('w1', 1)]
+
+    celltest.play(scenario)
