Show operators the state of the platform daemon; serve waves in the stand-in

`jujubebend status` and `state` knew the embedded default only. The daemon answers /state on the port of its metrics, in the same form: the host, who leads, and from the leader its workers and who waits and why.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/__main__.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/__main__.py
@@ -58,6 +58,7 @@
         advisor=advice.Advisor(cfg.advice) if cfg.advice else None,
         form=callers,
         grace=cfg.grace,
+        zone=cfg.zone,
     )
 
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
@@ -18,6 +18,7 @@
     peercalls,
     peers,
     ports,
+    statepage,
     surroundings,
     textfeed,
 )
@@ -25,6 +26,7 @@
 
 ROTATION_LAG = 2.6  # seconds until the balancer has noticed a host not ready
 STOP_MARGIN = 0.8  # seconds of the grace period left for closing down
+STATE_PATH = '/state'
 LOG_FLUSH = 0.2  # seconds between attempts to write held-back lines
 
 
@@ -50,10 +52,12 @@
     advisor: ports.Advisor | None
     form: door.CallerFormat
     grace: float
+    zone: str = ''
     numbers: measures.Measures = attrs.field(factory=measures.Measures)
     network: peers.Peers = attrs.field(init=False)
     election: elector.Elector = attrs.field(init=False)
     leading: leading.Leading = attrs.field(init=False)
+    _page: statepage.StatePage = attrs.field(init=False)
     _servers: list[httpserver.Server] = attrs.field(factory=list)
     _stop: asyncio.Event = attrs.field(factory=asyncio.Event)
     _stopping: bool = False
@@ -68,6 +72,9 @@
         self.election = elector.Elector(
             self.around.store, self.network, self.leading.lead, cores
         )
+        self._page = statepage.StatePage(
+            self.host, self.zone, self.election, self.leading, self.texts
+        )
 
     async def run(self) -> None:
         """Serve until a signal asks to stop."""
@@ -121,7 +128,7 @@
         inner = peers.PeerServer(answers.handlers())
         await self._serve(self.addresses.peer, inner.handle)
         await self._serve(self.addresses.ready, self._ready)
-        await self._serve(self.addresses.metrics, self._metrics)
+        await self._serve(self.addresses.metrics, self._observe)
         await self._serve(self.addresses.front, caller_door.handle)
 
     async def _serve(self, address: str, handler: httpserver.Handler) -> None:
@@ -159,12 +166,15 @@
     async def _ready(self, req: httpmessage.Request) -> httpmessage.Reply:
         if req.path != self.addresses.ready_path:
             return httpmessage.problem(http.HTTPStatus.NOT_FOUND, 'not here')
-        if self._stopping or not self._can_serve():
+        if not self._is_ready():
             return httpmessage.problem(
                 http.HTTPStatus.SERVICE_UNAVAILABLE, 'not ready'
             )
         return httpmessage.json_reply(http.HTTPStatus.OK, {})
 
+    def _is_ready(self) -> bool:
+        return self._can_serve() and not self._stopping
+
     def _can_serve(self) -> bool:
         """Say whether a caller is better served here than elsewhere.
 
@@ -177,7 +187,12 @@
             return True
         return self.leading.current() is not None
 
-    async def _metrics(self, req: httpmessage.Request) -> httpmessage.Reply:
+    async def _observe(self, req: httpmessage.Request) -> httpmessage.Reply:
+        """Answer operators: the host's state, or its metrics as text."""
+        if req.path == STATE_PATH:
+            ready = self._is_ready()
+            plain = self._page.describe(ready=ready)
+            return httpmessage.json_reply(http.HTTPStatus.OK, plain)
         self.leading.observe()
         body = self.numbers.render()
         return httpmessage.Reply(http.HTTPStatus.OK, body, 'text/plain')
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
@@ -186,6 +186,10 @@
             if worker.entry.service == service and worker.takes(now)
         ]
 
+    def listed(self) -> list[Worker]:
+        """Return the workers that the store lists now."""
+        return [one for one in self.workers.values() if one.listed]
+
     def may_suspend(self, worker: Worker, now: float) -> bool:
         """Say whether one more worker of the service may be left out."""
         peers = [
--- a/packages/jujubebend-ctl/src/jujubebend_ctl/main.py
+++ b/packages/jujubebend-ctl/src/jujubebend_ctl/main.py
@@ -265,7 +265,7 @@
         ],
     )
     _print_table(
-        ('host', 'kind', 'team', 'waited s', 'why'),
+        ('host', 'kind', 'team or job', 'waited s', 'why'),
         [
             (
                 one['name'],
--- a/packages/jujubebend-standin/src/jujubebend_standin/fleet/site.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/fleet/site.py
@@ -15,7 +15,7 @@
 from jujubebend import errors
 from jujubebend_http import httpclient, httpserver
 from jujubebend_standin import ports
-from jujubebend_standin.fleet import kv, proxy, worker
+from jujubebend_standin.fleet import kv, machines, proxy, worker
 
 LOOPBACK = '127.0.0.1'
 PORTS_PER_HOST = 6
@@ -52,20 +52,27 @@
 grace_s = 6
 hold_max_ms = 6000
 status_s = 120
+lease_ms = 1000
 [platform]
 address = "{store}"
+[cloud]
+address = "{cloud}"
 """
 
 
 @attrs.define(eq=False)
 class Host:
-    """One daemon; its addresses stay the same over its lives."""
+    """One daemon; its addresses stay the same over its lives.
+
+    ``observed`` is where it shows operators its state and metrics.
+    """
 
     name: str
     front: str
     ready: str
     settings: pathlib.Path
     log: pathlib.Path
+    observed: str = ''
     process: asyncio.subprocess.Process | None = None
     is_harmed: bool = False
 
@@ -106,25 +113,25 @@
     folder: pathlib.Path
     seed: int = 1
     store: kv.KvStore = attrs.field(init=False)
+    cloud: machines.MachineService = attrs.field(init=False)
     workers: list[worker.FleetWorker] = attrs.field(factory=list)
     hosts: list[Host] = attrs.field(factory=list)
     paths: list[proxy.Proxy] = attrs.field(factory=list)
     _addresses: dict[str, str] = attrs.field(factory=dict)
+    _cloud_address: str = ''
     _servers: list[httpserver.Server] = attrs.field(factory=list)
 
     def __attrs_post_init__(self) -> None:
         """Seed the store's chance."""
         self.store = kv.KvStore(random.Random(self.seed))  # noqa: S311
+        self.cloud = machines.MachineService(self._retire, self._replace)
 
     async def begin(self, hosts: int, workers: int, cpu: int) -> None:
         """Start everything and wait until one host is ready."""
         address = await self._serve(self.store.handle)
-        for number in range(workers):
-            made = worker.FleetWorker(f'i-{number:08x}', cpu)
-            self.workers.append(made)
-            worker_address = await self._serve(made.handle)
-            self._addresses[made.name] = await self._lead_to(worker_address)
-            self.list_worker(made)
+        for _ in range(workers):
+            self.cloud.add(await self._add_worker(cpu))
+        self._cloud_address = await self._serve(self.cloud.handle)
         self.store.put('op/config', TEXT)
         for number in range(hosts):
             path = await self._lead_to(address)
@@ -133,6 +140,20 @@
             await host.begin()
         await asyncio.gather(*(wait_ready(host) for host in self.hosts))
 
+    async def _add_worker(self, cpu: int) -> worker.FleetWorker:
+        made = worker.FleetWorker(f'i-{len(self.workers):08x}', cpu)
+        self.workers.append(made)
+        address = await self._serve(made.handle)
+        self._addresses[made.name] = await self._lead_to(address)
+        self.list_worker(made)
+        return made
+
+    def _retire(self, former: worker.FleetWorker) -> None:
+        self.store.delete(f'servers/{former.name}')
+
+    async def _replace(self, former: worker.FleetWorker) -> worker.FleetWorker:
+        return await self._add_worker(former.cpu)
+
     def list_worker(
         self, made: worker.FleetWorker, state: str = 'ready'
     ) -> None:
@@ -182,6 +203,7 @@
                 peer=first + 2,
                 last=first + PORTS_PER_HOST - 1,
                 store=store,
+                cloud=self._cloud_address,
             )
         )
         return Host(
@@ -190,6 +212,7 @@
             f'{LOOPBACK}:{first + 1}',
             settings,
             self.folder / f'{name}.log',
+            f'{LOOPBACK}:{first + 3}',
         )
 
 
--- a/tests/cluster/test_app.py
+++ b/tests/cluster/test_app.py
@@ -68,6 +68,24 @@
     virtualtime.run(main)
 
 
+def test_a_host_describes_itself_to_operators():
+    async def main():
+        store = fakecell.Store()
+        made = _app(store)
+        following = asyncio.create_task(made.texts.run())
+        store.put('op/config', b'7')
+        await asyncio.sleep(0.5)
+        req = httpmessage.Request('GET', app.STATE_PATH, {})
+        told = (await made._observe(req)).json()
+        assert told['config_revision'] == 7
+        assert (told['ready'], told['leads']) == (True, False)
+        text = await made._observe(httpmessage.Request('GET', '/metrics', {}))
+        assert b'jujubebend_leader' in text.body
+        following.cancel()
+
+    virtualtime.run(main)
+
+
 def test_a_version_never_goes_back():
     async def main():
         store = fakecell.Store()
