--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -52,9 +52,11 @@
         """Place a group as far as there is room, or prepare for it.
 
         Under a flood, most groups of a queue find no room: only the first
-        are looked at in one pass.
+        are looked at in one pass, but each may ask for advice at once.
         """
-        if self._blocked[want.queue.name] >= MOST_BLOCKED:
+        queue = want.queue
+        is_new = queue.advice is not None and not want.group.tickets.asked
+        if self._blocked[queue.name] >= MOST_BLOCKED and not is_new:
             return
         ticketed = self.room.ticketed(want)
         if want.step.gang:
@@ -62,7 +64,7 @@
         else:
             done = self.room.place_each(want, ticketed)
         if not done:
-            self._blocked[want.queue.name] += 1
+            self._blocked[queue.name] += not is_new
             self._prepare(want)
 
     def _place_gang(
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
@@ -30,7 +30,6 @@
 MOST_FAILURES = 2  # exchanges in a row after which a deputy is left
 AVOID = 3.0  # seconds that a deputy which failed is left alone
 SESSION_BITS = 64
-DIRECT = ''  # the route that leads through no deputy
 
 Exchange = abc.Callable[[str, dict, float], abc.Awaitable[dict]]
 
@@ -149,8 +148,7 @@
         """Return the worker's route, None where it is called directly."""
         if len(self.workers) <= WORKERS_PER_CORE * self.cores:
             return None
-        address = self._chosen.get(worker, DIRECT)
-        made = self._routes.get(address)
+        made = self._routes.get(self._chosen.get(worker, ''))
         if made is not None and not made.failed:
             return made
         return self._choose(worker)
--- a/tests/cluster/test_planner.py
+++ b/tests/cluster/test_planner.py
@@ -323,3 +323,31 @@
         assert not _plan(cell, (ADVISED, gang)).questions
 
     _play(check)
+
+
+def test_under_a_flood_few_blocked_groups_are_looked_at_and_all_may_ask():
+    def check():
+        cell = _cell(2)
+        _occupied(cell, 32_000)
+        blocked = []
+        for number in range(planner.MOST_BLOCKED + 5):
+            group = _group(f'b{number}', jobspec.Step(1, LARGE), ADVISED)
+            group.tickets.asked.update(cell.workers)
+            group.tickets.good.update(dict.fromkeys(cell.workers, ('t', 5.0)))
+            blocked.append((ADVISED, group))
+        _occupied(cell, 0)
+        cell.workers['w0'].used_cpu = 32_000
+        cell.workers['w1'].used_cpu = 31_000
+        small = _group('s', jobspec.Step(1, jobspec.Demand(1_000, 1)), ADVISED)
+        small.tickets.asked.update(cell.workers)
+        small.tickets.good['w1'] = ('t', 5.0)
+        fresh = [
+            (ADVISED, _group(f'n{number}', jobspec.Step(1, LARGE), ADVISED))
+            for number in range(planner.MOST_BLOCKED + 5)
+        ]
+        made = _plan(cell, *blocked, (ADVISED, small), *fresh)
+        assert not made.placements
+        assert len(_asked(made)) == len(fresh)
+        assert _plan(cell, (ADVISED, small)).placements
+
+    _play(check)
