--- a/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
@@ -30,6 +30,7 @@
     entry: ports.WorkerEntry
     name: str = attrs.field(init=False)
     listed: bool = True
+    unlisted_at: float = 0
     reached: bool = False
     used_cpu: int = 0
     used_memory: int = 0
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/housekeeping.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/housekeeping.py
@@ -1,4 +1,4 @@
-"""Runs at workers that are gone, and jobs that nobody asks for any more."""
+"""Workers that are gone, runs on them, jobs that nobody asks for any more."""
 
 from __future__ import annotations
 
@@ -25,7 +25,9 @@
             await asyncio.sleep(SWEEP_EVERY)
             if not self.cell.may_order():
                 self.cell.end('the store was away for too long')
-            self._sweep(clock.now())
+            now = clock.now()
+            self._sweep(now)
+            self.roster.drop_gone(now)
 
     def _sweep(self, now: float) -> None:
         orphaned = now > self.cell.orphaned_until()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/link.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/link.py
@@ -50,7 +50,10 @@
 
 @attrs.define(eq=False)
 class Link:
-    """Talks to one worker until cancelled."""
+    """Talks to one worker until cancelled or ``stopped``.
+
+    ``lives`` counts the new lives of the worker that this leader has seen.
+    """
 
     worker: fleet.Worker
     connect: abc.Callable[[str, str], ports.WorkerCalls]
@@ -60,8 +63,9 @@
     orphaned_until: float
     calls: ports.WorkerCalls = attrs.field(init=False)
     seen: int = 0
+    lives: int = 0
+    stopped: bool = False
     _former: list[ports.WorkerCalls] = attrs.field(factory=list)
-    _lives: int = 0
     _cleared: bool = False
     _listed_at: float = 0
 
@@ -74,7 +78,7 @@
     async def run(self) -> None:
         """Hold the worker's leases and hear of ends until cancelled."""
         try:
-            while True:
+            while not self.stopped:
                 while self._former:
                     await self._former.pop().close()
                 if not self.listener.may_order():
@@ -269,14 +273,14 @@
         worker.reached = False
         self.seen = 0
         self._cleared = False
-        self._lives += 1
+        self.lives += 1
         self._renew_token()
         self.listener.life_began(worker, why)
 
     def _renew_token(self) -> None:
         # A later life has seen no token: a higher one keeps orders that
         # were meant for the former life out once it has been looked at.
-        lives = min(self._lives, TOKENS_PER_EPOCH - 1)
+        lives = min(self.lives, TOKENS_PER_EPOCH - 1)
         self.worker.token = self.epoch * TOKENS_PER_EPOCH + lives
 
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
@@ -250,7 +250,8 @@
         return await self._ask(route, relayed.HOLD, row, wait + HOLD_SLACK)
 
     async def close(self) -> None:
-        """Close the direct connections."""
+        """Close the direct connections; the worker is called no more."""
+        self.relays.workers.discard(self.worker)
         if self._direct is not None:
             await self._direct.close()
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/roster.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/roster.py
@@ -18,6 +18,8 @@
     reports,
 )
 
+GONE_AFTER = 30.0  # seconds without an entry; leases have long lapsed
+
 
 @attrs.define(eq=False)
 class Roster:
@@ -26,6 +28,7 @@
     cell: cell.Cell
     orders: orders.Orders
     reports: reports.Reports
+    _lives: dict[str, int] = attrs.field(factory=dict)
 
     async def follow(self) -> None:
         """Follow the entries until cancelled."""
@@ -41,6 +44,18 @@
                     ghost = fleet.Worker(_ghost(task))
                     self.orders.release(ghost, task, 'its worker is gone')
 
+    def drop_gone(self, now: float) -> None:
+        """Drop the workers that left, or will not be back, and run nothing."""
+        for name, known in list(self.cell.links.items()):
+            worker = known.worker
+            left = not worker.listed and now - worker.unlisted_at > GONE_AFTER
+            if left and not (worker.tasks or worker.reached):
+                known.stopped = True
+                self._lives[name] = known.lives
+                self.cell.links.pop(name)
+                self.cell.workers.workers.pop(name)
+                logs.belief('worker_dropped', worker=name)
+
     def _take(self, key: str, item: ports.Item | None) -> None:
         name = key.removeprefix(self.cell.around.workers_prefix)
         entry = None
@@ -50,6 +65,7 @@
         if entry is None:
             if known is not None and known.worker.listed:
                 known.worker.listed = False
+                known.worker.unlisted_at = clock.now()
                 logs.belief('worker_unlisted', worker=name)
             return
         if known is None:
@@ -67,6 +83,7 @@
             self.cell.epoch,
             self.cell.around.lease,
             self.cell.orphaned_until(),
+            lives=self._lives.get(entry.worker, 0),
         )
         self.cell.workers.workers[entry.worker] = worker
         self.cell.links[entry.worker] = made
--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -475,3 +475,40 @@
         assert [(name, run) for name, _, run in starts] == [('w1', 1)]
 
     celltest.play(scenario)
+
+
+def test_a_worker_that_left_is_dropped_and_taken_up_again():
+    async def scenario(cell):
+        made = await cell.lead()
+        await celltest.until(lambda: len(made.cell.links) == 2)
+        first, second = cell.workers.values()
+        first.crash(reborn=True)
+        cell.list_worker(first)
+        await asyncio.sleep(2)
+        before = first.token
+        first.refuse = True
+        cell.unlist(first)
+        await celltest.until(lambda: 'w1' not in made.cell.links, 60)
+        first.refuse = False
+        second.refuse = True
+        cell.list_worker(first)
+        cell.submit(fakecell.job('j'))
+        await celltest.until(lambda: celltest.shown(made, 'j') == 'completed')
+        assert first.token == before
+        assert not made.cell.ended.done()
+
+    celltest.play(scenario)
+
+
+def test_a_worker_without_an_entry_that_answers_is_kept():
+    async def scenario(cell):
+        made = await cell.lead()
+        cell.submit(fakecell.job('j', jobspec.Step(2, DEMAND, 60.0)))
+        await celltest.until(lambda: len(celltest.runs_of(cell, 'j')) == 2)
+        for worker in cell.workers.values():
+            cell.unlist(worker)
+        await asyncio.sleep(45)
+        assert len(made.cell.links) == 2
+
+    workers = [fakecell.Worker(name, seconds=60) for name in ('w1', 'w2')]
+    celltest.play(scenario, *workers)
