One relay for scenarios and the soak

fleet/proxy.py wrote again what jujubebend_standin.relay did: listen, connect, copy both ways, cut, stall.

--- a/packages/jujubebend-standin/src/jujubebend_standin/fleet/site.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/fleet/site.py
@@ -14,8 +14,8 @@
 
 from jujubebend import errors
 from jujubebend_http import httpclient, httpserver
-from jujubebend_standin import ports
-from jujubebend_standin.fleet import kv, machines, proxy, worker
+from jujubebend_standin import ports, relay
+from jujubebend_standin.fleet import kv, machines, worker
 
 LOOPBACK = '127.0.0.1'
 PORTS_PER_HOST = 6
@@ -107,7 +107,7 @@
     """Store, workers and daemons; ``folder`` keeps settings and logs.
 
     Each host has a path of its own to the store, and all share one to each
-    worker; ``paths`` are the proxies on them.
+    worker; ``paths`` are the relays on them.
     """
 
     folder: pathlib.Path
@@ -116,7 +116,7 @@
     cloud: machines.MachineService = attrs.field(init=False)
     workers: list[worker.FleetWorker] = attrs.field(factory=list)
     hosts: list[Host] = attrs.field(factory=list)
-    paths: list[proxy.Proxy] = attrs.field(factory=list)
+    paths: list[relay.Relay] = attrs.field(factory=list)
     _addresses: dict[str, str] = attrs.field(factory=dict)
     _cloud_address: str = ''
     _servers: list[httpserver.Server] = attrs.field(factory=list)
@@ -181,9 +181,10 @@
 
     async def _lead_to(self, address: str) -> str:
         """Return an address that leads there on a path that can be harmed."""
-        made = proxy.Proxy(address)
+        made = relay.Relay(address)
         self.paths.append(made)
-        return await made.start()
+        await made.start()
+        return f'{LOOPBACK}:{made.port}'
 
     async def _serve(self, handler: httpserver.Handler) -> str:
         server = httpserver.Server(handler)
--- a/packages/jujubebend-standin/src/jujubebend_standin/fleet/soak.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/fleet/soak.py
@@ -11,7 +11,8 @@
 
 import attrs
 
-from jujubebend_standin.fleet import checks, kv, load, proxy, site, worker
+from jujubebend_standin import relay
+from jujubebend_standin.fleet import checks, kv, load, site, worker
 
 HOSTS = 3
 WORKERS = 5
@@ -123,7 +124,7 @@
         finally:
             host.is_harmed = False
 
-    def _path(self) -> proxy.Proxy:
+    def _path(self) -> relay.Relay:
         return self.chance.choice(self.place.paths)
 
     def _worker(self) -> worker.FleetWorker:
@@ -176,22 +177,20 @@
 
     async def _path_slow(self) -> None:
         path = self._path()
-        path.faults.delay = self.chance.uniform(*PATH_DELAY)
+        path.delay = self.chance.uniform(*PATH_DELAY)
         await asyncio.sleep(self.chance.uniform(0.5, 4))
-        path.faults.delay = 0
+        path.delay = 0
 
     async def _path_cut(self) -> None:
         path = self._path()
         ways = self.chance.choice((
-            ('cut_there',),
-            ('cut_back',),
-            ('cut_there', 'cut_back'),
+            (relay.Way.THERE,),
+            (relay.Way.BACK,),
+            tuple(relay.Way),
         ))
-        for way in ways:
-            setattr(path.faults, way, True)
+        path.hold(*ways)
         await asyncio.sleep(self.chance.uniform(0.5, 9))
-        for way in ways:
-            setattr(path.faults, way, False)
+        path.let_flow(*ways)
 
     async def _path_reset(self) -> None:
         self._path().reset()
