Ask a task whether its run still stands, in one place

The same comparison of run and state stood in orders, Link.start and Link.stop; it is Task.stands now. A comment in acceptance said that a job without its record was forgotten; it is over. No behaviour changed.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/acceptance.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/acceptance.py
@@ -133,7 +133,7 @@
         try:
             await self.store.commit(wanted)
         except errors.ConflictError:
-            # A job's record never changes: it was forgotten meanwhile.
+            # A job's record never changes: the job is over by now.
             return Outcome.NO_SUCH_JOB
         return Outcome.STORED
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/book.py
@@ -44,6 +44,10 @@
     gave_way: bool = False
     failed_on: set[str] = attrs.field(factory=set)
 
+    def stands(self, run: int) -> bool:
+        """Say whether that run is the latest and has not been given up."""
+        return self.run == run and self.state is progress.TaskState.PLACED
+
 
 @attrs.define(eq=False)
 class Tickets:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/link.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/link.py
@@ -10,7 +10,7 @@
 import attrs
 
 from jujubebend import errors
-from jujubebend_cluster import book, clock, fleet, logs, ports, progress
+from jujubebend_cluster import book, clock, fleet, logs, ports
 
 HOLD_WAIT = 1.0  # seconds that a hold waits for an end; the worker allows 2
 LIST_EVERY = 0.4  # seconds between two readings of all that runs
@@ -104,8 +104,7 @@
         for _ in range(START_TRIES):
             now = clock.now()
             until = self.worker.lease_until(now, START_LIFE)
-            still = task.run == run and task.state is progress.TaskState.PLACED
-            if until is None or not still or task.stopping:
+            if until is None or not task.stands(run) or task.stopping:
                 return None
             order = ports.StartOrder(
                 task=task.name,
@@ -131,11 +130,7 @@
     async def stop(self, task: book.Task) -> None:
         """Order a stop until the worker answers or the run is over."""
         run, worker = task.run, self.worker
-        while (
-            task.run == run
-            and task.state is progress.TaskState.PLACED
-            and task.worker == worker.name
-        ):
+        while task.stands(run) and task.worker == worker.name:
             if not self.listener.may_order():
                 await asyncio.sleep(STOP_PAUSE)
                 continue
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/orders.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/orders.py
@@ -83,7 +83,7 @@
 
     async def _start(self, start: Start) -> None:
         task, worker, run = start.task, start.worker, start.run
-        if not _stands(task, run):
+        if not task.stands(run):
             # The run was given up, and perhaps another planned, meanwhile.
             return
         if task.stopping:
@@ -97,7 +97,7 @@
         ready = task.group.ready_at or clock.now()
         self.cell.numbers.observe('start_wait', clock.now() - ready)
         verdict = await made.start(task, start.ticket)
-        if not _stands(task, run):
+        if not task.stands(run):
             return
         outcome = verdict.value if verdict else 'unknown'
         self.cell.numbers.count('starts', outcome=outcome)
@@ -130,10 +130,6 @@
         self.stop(task, f'its start was refused: {verdict.value}')
 
 
-def _stands(task: book.Task, run: int) -> bool:
-    return task.run == run and task.state is progress.TaskState.PLACED
-
-
 def _is_current(task: book.Task, worker: fleet.Worker) -> bool:
     ready = worker.entry.state is ports.WorkerState.READY
     return ready and task.life == worker.entry.born
