Let a planning pass hand on what it knows; one ordering for the benchmark

For each question the scheduler looked up the queue again, filtered the service's workers again and repeated checks that the planner had made. The question carries them now.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -224,17 +224,8 @@
         self.book.add(spec)
 
     def _plan(self, now: float) -> None:
-        ready = []
-        for job in self.book.live.values():
-            self.book.open_due(job, now, now)
-            queue = self._kinds[job.spec.job].queue
-            for group in job.groups.values():
-                if group.ready_at is not None and group.waiting:
-                    key = planner.urgency(queue, group, now)
-                    want = seats.Want(queue, group, bool(key[0]))
-                    ready.append((key, len(ready), want))
-        ready.sort()
-        made = planner.plan([row[-1] for row in ready], self.cell, now)
+        ordered = planner.in_order(self._ready(now), now)
+        made = planner.plan(ordered, self.cell, now)
         for placement in made.placements:
             self._place(placement, now)
         for question in made.questions:
@@ -246,6 +237,16 @@
                 self.stops += 1
                 self._at(now + STOP_DELAY, self._stopped, task, task.run)
 
+    def _ready(
+        self, now: float
+    ) -> abc.Iterator[tuple[jobspec.Queue, book.Group]]:
+        for job in self.book.live.values():
+            self.book.open_due(job, now, now)
+            queue = self._kinds[job.spec.job].queue
+            for group in job.groups.values():
+                if group.ready_at is not None and group.waiting:
+                    yield queue, group
+
     def _place(self, placement: seats.Placement, now: float) -> None:
         task, worker = placement.task, placement.worker
         self.book.place(task, worker.name, 1, task.run + 1)
@@ -288,15 +289,17 @@
             self.book.live.pop(job.spec.job, None)
 
     def _ask(self, question: planner.Question, now: float) -> None:
-        group = question.group
+        want = question.want
+        group = want.group
         kind = self._kinds[group.job.spec.job]
-        usable = self.cell.usable(SERVICE, now)
-        named = self.desk.candidates(group, usable, now, question.about)
-        if not named or group.tickets.asking:
+        named = self.desk.candidates(
+            group, question.usable, now, question.about
+        )
+        if not named:
             return
-        patient = seats.is_patient(kind.queue)
-        policy = kind.queue.advice
-        caller = self.desk.choose(policy, len(named), now, patient=patient)
+        caller = self.desk.choose(
+            want.queue.advice, len(named), now, patient=want.is_patient
+        )
         if caller is None:
             return
         group.tickets.asking = True
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -22,10 +22,14 @@
 
 @attrs.frozen
 class Question:
-    """A group that needs advice; ``about`` are the workers it waits for."""
+    """A group that needs advice on the ``usable`` workers of its service.
 
-    group: book.Group
-    about: frozenset[str] = frozenset()
+    ``about`` are those that it waits for.
+    """
+
+    want: seats.Want
+    usable: abc.Sequence[fleet.Worker]
+    about: frozenset[str]
 
 
 @attrs.define(eq=False)
@@ -93,7 +97,8 @@
         if want.queue.advice is None:
             return
         if self._needs_advice(want, suited, about):
-            self.plan.questions.append(Question(want.group, about))
+            asked = Question(want, self.room.workers, about)
+            self.plan.questions.append(asked)
 
     def _needs_advice(
         self,
@@ -161,6 +166,18 @@
     return int(worthless), queue.rank, int(late), due
 
 
+def in_order(
+    ready: abc.Iterable[tuple[jobspec.Queue, book.Group]], unix: float
+) -> list[seats.Want]:
+    """Return the groups that are ready, the most urgent first."""
+    rows = []
+    for number, (queue, group) in enumerate(ready):
+        key = urgency(queue, group, unix)
+        rows.append((key, number, seats.Want(queue, group, bool(key[0]))))
+    rows.sort()
+    return [want for _, _, want in rows]
+
+
 def plan(
     ordered: abc.Iterable[seats.Want], cell: fleet.Fleet, now: float
 ) -> Plan:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections import abc
 
 import attrs
 
@@ -46,7 +47,8 @@
 
     def _plan(self) -> None:
         now = clock.now()
-        ready = self._ready_groups(now, clock.unix())
+        unix = clock.unix()
+        ready = planner.in_order(self._ready_groups(now, unix), unix)
         made = planner.plan(ready, self.cell.workers, now)
         for question in made.questions:
             self._ask_advice(question, now)
@@ -70,8 +72,9 @@
             starts.append(orders.Start(task, worker, run, placement.ticket))
         self.cell.spawn(self.orders.start_all(starts))
 
-    def _ready_groups(self, now: float, unix: float) -> list[seats.Want]:
-        ready = []
+    def _ready_groups(
+        self, now: float, unix: float
+    ) -> abc.Iterator[tuple[jobspec.Queue, book.Group]]:
         for job in self.cell.book.live.values():
             queue = self.cell.queue_of(job)
             if queue is None or job.is_ended:
@@ -79,31 +82,22 @@
             self.cell.book.open_due(job, unix, now)
             for group in job.groups.values():
                 if group.ready_at is not None and group.waiting:
-                    key = planner.urgency(queue, group, unix)
-                    want = seats.Want(queue, group, bool(key[0]))
-                    ready.append((key, len(ready), want))
-        ready.sort()
-        return [want for _, _, want in ready]
+                    yield queue, group
 
     def _ask_advice(self, question: planner.Question, now: float) -> None:
-        group = question.group
-        queue = self.cell.queue_of(group.job)
-        if queue is None or queue.advice is None or group.tickets.asking:
-            return
-        usable = self.cell.workers.usable(queue.service, now)
-        named = self.cell.desk.candidates(group, usable, now, question.about)
+        want = question.want
+        desk = self.cell.desk
+        named = desk.candidates(
+            want.group, question.usable, now, question.about
+        )
         if not named:
             return
-        caller = self.cell.desk.choose(
-            queue.advice,
-            len(named),
-            now,
-            patient=seats.is_patient(queue),
-        )
+        policy = want.queue.advice
+        caller = desk.choose(policy, len(named), now, patient=want.is_patient)
         if caller is None:
             return
-        group.tickets.asking = True
-        self.cell.spawn(self._advise(group, queue.advice, named, caller))
+        want.group.tickets.asking = True
+        self.cell.spawn(self._advise(want.group, policy, named, caller))
 
     async def _advise(
         self,
--- a/tests/cluster/test_planner.py
+++ b/tests/cluster/test_planner.py
@@ -44,7 +44,7 @@
 
 
 def _asked(made):
-    return [question.group for question in made.questions]
+    return [question.want.group for question in made.questions]
 
 
 def _occupied(cell, cores):
