--- a/packages/jujubebend-cluster/src/jujubebend_cluster/upkeep.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/upkeep.py
@@ -73,11 +73,9 @@
         asked = self.cell.around.current_waves()
         if asked and not self._loaded:
             await self._load()
-        return [
-            wave
-            for wave in asked
-            if not self._progress(wave).completed and self._loaded
-        ]
+        if not self._loaded:
+            return []
+        return [wave for wave in asked if not self._progress(wave).completed]
 
     async def _load(self) -> None:
         try:
@@ -96,9 +94,8 @@
         if made is None:
             made = waves.WaveProgress(clock.unix())
             self.known[wave.number] = made
-            if self._loaded:
-                logs.belief('wave', wave=wave.number, state='running')
-                self._save(wave, made)
+            logs.belief('wave', wave=wave.number, state='running')
+            self._save(wave, made)
         return made
 
     def _save(self, wave: waves.Wave, made: waves.WaveProgress) -> None:
--- a/tests/cluster/test_upkeep.py
+++ b/tests/cluster/test_upkeep.py
@@ -13,6 +13,7 @@
     book,
     clock,
     jobspec,
+    keys,
     ports,
     progress,
     upkeep,
@@ -234,6 +235,24 @@
     _play(scenario)
 
 
+def test_operators_hear_of_a_wave_though_its_record_was_not_read_at_once():
+    async def scenario(cell):
+        read = fakecell.Store.scan
+        failures = ['first']
+
+        async def scan(store, prefix):
+            if prefix == keys.WAVES and failures:
+                raise errors.UnreachableError(failures.pop())
+            return await read(store, prefix)
+
+        cell.machines.refuse = True
+        with mock.patch.object(fakecell.Store, 'scan', scan):
+            await cell.lead()
+            await celltest.until(lambda: _status(cell) is False)
+
+    _play(scenario)
+
+
 def test_a_step_without_a_limit_spares_any_task():
     def task(limit, *percents):
         step = jobspec.Step(
