Log each second what delays a leader, and measure its exchanges, orders and bytes

leader_load gives number, mean and maximum of each duration and the bytes of the last second; one line a second, from the leader only.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
@@ -69,7 +69,7 @@
         """Create the components and connect them."""
         cores = self.context.cores
         self.peer_client = peers.PeerClient(
-            self.host, self.addresses.peer, cores
+            self.host, self.addresses.peer, cores, self.metrics
         )
         self.leadership = leadership.Leadership(
             self.context, self.advisor, self.metrics, self.peer_client
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
@@ -200,6 +200,7 @@
                 self.commit_count += 1
                 self.metrics.count('commits', outcome='stored')
                 self.metrics.observe('commit', clock.now() - sent_at)
+                self.metrics.count_bytes('commit_bytes', transaction.size)
                 self._update_store_state(lost=False)
                 for _, entry in entries:
                     entry.mark_stored()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
@@ -102,8 +102,10 @@
         task.is_start_sent = True
         controller = self.leader.controllers[worker.name]
         ready_at = task.group.ready_at or clock.now()
-        self.leader.metrics.observe('start_wait', clock.now() - ready_at)
+        sent_at = clock.now()
+        self.leader.metrics.observe('start_wait', sent_at - ready_at)
         order_result = await controller.start_run(task, start.ticket)
+        self.leader.metrics.observe('order', clock.now() - sent_at)
         if not task.is_current_run(run):
             return
         outcome = order_result.value if order_result else 'unknown'
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/interfaces.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/interfaces.py
@@ -36,6 +36,11 @@
     puts: dict[str, bytes] = attrs.field(factory=dict)
     deletes: tuple[str, ...] = ()
 
+    @property
+    def size(self) -> int:
+        """Return the number of bytes of the written values."""
+        return sum(len(body) for body in self.puts.values())
+
 
 class Store(Protocol):
     """A key-value store with linearizable reads and writes."""
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/leadership.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/leadership.py
@@ -11,6 +11,7 @@
     followers,
     interfaces,
     leaderstate,
+    loadreport,
     metrics,
     peers,
     relay,
@@ -61,6 +62,7 @@
             self.context.cores,
         )
         leader_state.connect_worker = router.connect_worker
+        leader_state.spawn(loadreport.LoadReporter(leader_state).run())
         self.term = term.Term(leader_state)
         try:
             await self.term.run()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/logs.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/logs.py
@@ -24,6 +24,7 @@
     'reload',
     'dependency',
     'belief',
+    'leader_load',
 ))
 
 
@@ -158,6 +159,11 @@
     eliot.log_message('dependency', dependency=name, state=state, why=why)
 
 
+def load_report(**fields: object) -> None:
+    """Log what delayed a leader's work in the last interval."""
+    eliot.log_message('leader_load', **fields)
+
+
 def lifecycle(event: str, **fields: object) -> None:
     """Log a start, a stop, a reload or an error of this process."""
     eliot.log_message(event, **fields)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/metrics.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 
 import aioprometheus
 import attrs
@@ -13,6 +14,27 @@
 BUCKETS_S = (0.005, 0.02, 0.1, 0.5, 2.0, 5.0, 15.0)
 LAG_INTERVAL_S = 0.5  # between measurements of the event loop's lag
 LAG_WEIGHT = 0.4  # of the newest measurement in the moving average
+BYTE_COUNTERS = frozenset(('commit_bytes', 'exchange_bytes'))
+
+
+@attrs.define(eq=False)
+class Summary:
+    """Number, sum and maximum of the values observed in an interval."""
+
+    count: int = 0
+    total: float = 0
+    maximum: float = 0
+
+    def add(self, amount: float) -> None:
+        """Add one value."""
+        self.count += 1
+        self.total += amount
+        self.maximum = max(self.maximum, amount)
+
+    @property
+    def mean(self) -> float:
+        """Return the mean value, zero if there was none."""
+        return self.total / self.count if self.count else 0
 
 
 @attrs.define(eq=False)
@@ -20,7 +42,8 @@
     """Counters and histograms of one process.
 
     ``lag`` is the moving average, in seconds, of how late the event loop
-    wakes.
+    wakes. ``interval`` summarizes what was observed since the last call of
+    ``start_interval``.
 
     Names follow Prometheus: counters end in ``_total``, times in
     ``_seconds``.
@@ -34,24 +57,20 @@
         factory=aioprometheus.Registry
     )
     lag: float = 0
+    interval: collections.defaultdict[str, Summary] = attrs.field(
+        factory=lambda: collections.defaultdict(Summary)
+    )
     _counters: dict[str, aioprometheus.Counter] = attrs.field(factory=dict)
     _histograms: dict[str, aioprometheus.Histogram] = attrs.field(factory=dict)
     _gauges: dict[str, aioprometheus.Gauge] = attrs.field(factory=dict)
 
     def count(self, name: str, **labels: str) -> None:
         """Count one event, such as an answer or a start, by its labels."""
-        counter = self._counters.get(name)
-        if counter is None:
-            counter = aioprometheus.Counter(
-                f'jujubebend_{name}_total',
-                COUNTER_HELP[name],
-                registry=self.registry,
-            )
-            self._counters[name] = counter
-        counter.inc(labels)
+        self._counter(name).inc(labels)
 
     def observe(self, name: str, seconds: float, **labels: str) -> None:
-        """Add a duration to a histogram."""
+        """Add a duration to a histogram and to the current interval."""
+        self.interval[name].add(seconds)
         histogram = self._histograms.get(name)
         if histogram is None:
             histogram = aioprometheus.Histogram(
@@ -63,6 +82,17 @@
             self._histograms[name] = histogram
         histogram.observe(labels, seconds)
 
+    def count_bytes(self, name: str, size: int) -> None:
+        """Add the size of one message in bytes to a counter."""
+        self.interval[name].add(size)
+        self._counter(name).add({}, size)
+
+    def start_interval(self) -> dict[str, Summary]:
+        """Return the summaries of the interval that ends, and begin another."""
+        summaries = self.interval
+        self.interval = collections.defaultdict(Summary)
+        return summaries
+
     def record_answer(self, method: str, status: int, seconds: float) -> None:
         """Count an answer to a caller and its duration in seconds."""
         self.count('answers', method=method, status=str(int(status)))
@@ -78,6 +108,17 @@
             self._gauges[name] = gauge_metric
         gauge_metric.set({}, value)
 
+    def _counter(self, name: str) -> aioprometheus.Counter:
+        counter = self._counters.get(name)
+        if counter is None:
+            counter = aioprometheus.Counter(
+                f'jujubebend_{name}_total',
+                COUNTER_HELP[name],
+                registry=self.registry,
+            )
+            self._counters[name] = counter
+        return counter
+
     async def measure_lag(self) -> None:
         """Measure how late the event loop wakes, until cancelled."""
         loop = asyncio.get_running_loop()
@@ -101,12 +142,17 @@
     'commits': 'Commits to the store by this leader, by outcome.',
     'advice_calls': 'Calls for advice by this leader, by outcome.',
     'holds': 'Holds of workers by this leader, by outcome.',
+    'commit_bytes': 'Bytes of records that this leader committed.',
+    'exchange_bytes': 'Bytes exchanged with relays by this leader.',
 }
 HISTOGRAM_HELP = {
     'answer': 'Seconds from a whole request to its answer, by method.',
     'commit': 'Seconds that a commit to the store took.',
     'start_wait': 'Seconds from when a step was ready to each start of it.',
     'advice': 'Seconds that a call for advice took.',
+    'pass': 'Seconds that a planning pass took.',
+    'order': 'Seconds from a start order to its answer.',
+    'exchange': 'Seconds that an exchange with a relay took.',
     'lease_margin': 'Seconds left of a lease when it was renewed.',
     'loop_lag': 'Seconds that the event loop woke late.',
 }
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
@@ -9,7 +9,7 @@
 import orjson
 
 from jujubebend import errors
-from jujubebend_cluster import progress
+from jujubebend_cluster import clock, metrics, progress
 from jujubebend_http import httpclient, httpmessage
 
 CALL_TIMEOUT_S = 0.5  # a usual answer takes 3 ms
@@ -52,6 +52,7 @@
     host: str
     address: str
     cores: float = 1
+    metrics: metrics.Metrics = attrs.field(factory=metrics.Metrics)
     _clients: dict[str, httpclient.Client] = attrs.field(factory=dict)
 
     async def send_heartbeat(self, address: str) -> HeartbeatReply:
@@ -106,7 +107,13 @@
 
         ``timeout`` is in seconds.
         """
-        return await self._call(address, 'relay', document, timeout)
+        body = orjson.dumps(document)
+        started_at = clock.now()
+        reply = await self._send(address, 'relay', body, timeout)
+        self.metrics.observe('exchange', clock.now() - started_at)
+        size = len(body) + len(reply.body)
+        self.metrics.count_bytes('exchange_bytes', size)
+        return reply.json()
 
     async def close(self) -> None:
         """Close the idle connections."""
@@ -120,6 +127,12 @@
         document: dict,
         timeout: float = CALL_TIMEOUT_S,
     ) -> dict:
+        body = orjson.dumps(document)
+        return (await self._send(address, call_name, body, timeout)).json()
+
+    async def _send(
+        self, address: str, call_name: str, body: bytes, timeout: float
+    ) -> httpmessage.Reply:
         client = self._clients.get(address)
         if client is None:
             client = httpclient.Client(
@@ -127,10 +140,7 @@
             )
             self._clients[address] = client
         reply = await client.call(
-            'POST',
-            f'/peer/{call_name}',
-            orjson.dumps(document),
-            timeout=timeout,
+            'POST', f'/peer/{call_name}', body, timeout=timeout
         )
         if reply.status == REFUSED:
             raise errors.RefusedError(f'{address} refused the call {call_name}')
@@ -139,7 +149,7 @@
                 f'call {call_name} to {address}: '
                 f'status {reply.status}, not {OK}'
             )
-        return reply.json()
+        return reply
 
 
 Handler = abc.Callable[[dict], abc.Awaitable[dict]]
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
@@ -50,6 +50,7 @@
             ):
                 self._run_pass()
             pass_duration = clock.now() - started_at
+            self.leader.metrics.observe('pass', pass_duration)
             await asyncio.sleep(
                 max(PASS_GAP_S, pass_duration / MAX_PASS_SHARE - pass_duration)
             )
