Limit the starts under way, so that an overloaded leader does not collapse

Cause: a leader placed all that fitted, however little it could hand out. The starts queued for its commits and exchanges, urgent ones behind batch, for 1.5 to 3.6 s.

Change: the starts under way are limited by the delay that they measure, by Little's law. A pass places the most urgent work up to the limit, looks no further, and takes only tickets that are valid on arrival; a start whose ticket expired during its commit is not sent.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
@@ -14,6 +14,7 @@
     leaderstate,
     logs,
     progress,
+    startlimit,
     workercontroller,
 )
 
@@ -33,11 +34,16 @@
     """Sends orders to workers and applies the results."""
 
     leader: leaderstate.LeaderState
+    start_limit: startlimit.StartLimit = attrs.field(
+        factory=startlimit.StartLimit
+    )
 
     async def start_runs(self, starts: list[Start]) -> None:
         """Start tasks once their placement is stored."""
+        now = clock.now()
+        numbers = [self.start_limit.open(now) for _ in starts]
         await self.leader.commits.flush()
-        await asyncio.gather(*(self._start_run(start) for start in starts))
+        await asyncio.gather(*map(self._start_run, starts, numbers))
 
     def stop_run(self, task: jobtable.Task, why: str) -> None:
         """Stop a task's run; its worker will report the end."""
@@ -83,22 +89,24 @@
             self.stop_group(task.group)
         self.leader.save_job(task.group.job)
 
-    async def _start_run(self, start: Start) -> None:
+    async def _start_run(self, start: Start, number: int) -> None:
+        is_answered = False
+        try:
+            is_answered = await self._order_start(start)
+        finally:
+            self.start_limit.close(number, clock.now(), is_answered=is_answered)
+
+    async def _order_start(self, start: Start) -> bool:
+        """Send a start unless it is obsolete; return whether it was answered."""
         task, worker, run = start.task, start.worker, start.run
         if not task.is_current_run(run):
             # The run was released during the commit, and another one may
             # have been planned.
-            return
-        if task.is_stopping:
-            self.release_run(
-                worker, task, 'withdrawn before its start was sent'
-            )
-            return
-        if not _can_still_start(task, worker):
-            self.release_run(
-                worker, task, 'its worker changed before its start was sent'
-            )
-            return
+            return False
+        obstacle = _find_obstacle(start)
+        if obstacle:
+            self.release_run(worker, task, obstacle)
+            return False
         task.is_start_sent = True
         controller = self.leader.controllers[worker.name]
         ready_at = task.group.ready_at or clock.now()
@@ -106,12 +114,14 @@
         self.leader.metrics.observe('start_wait', sent_at - ready_at)
         order_result = await controller.start_run(task, start.ticket)
         self.leader.metrics.observe('order', clock.now() - sent_at)
+        is_answered = order_result is not None
         if not task.is_current_run(run):
-            return
+            return is_answered
         outcome = order_result.value if order_result else 'unknown'
         self.leader.metrics.count('starts', outcome=outcome)
         _log_start(task, worker, outcome)
         self._apply_result(task, worker, order_result)
+        return is_answered
 
     def _apply_result(
         self,
@@ -141,9 +151,18 @@
         self.stop_run(task, f'its start was refused: {order_result.value}')
 
 
-def _can_still_start(task: jobtable.Task, worker: fleet.Worker) -> bool:
+def _find_obstacle(start: Start) -> str:
+    """Return why a start cannot succeed any more, empty if it can."""
+    task, worker = start.task, start.worker
+    if task.is_stopping:
+        return 'withdrawn before its start was sent'
     is_ready = worker.entry.state is interfaces.WorkerState.READY
-    return is_ready and task.incarnation == worker.entry.born
+    if not is_ready or task.incarnation != worker.entry.born:
+        return 'its worker changed before its start was sent'
+    tickets = task.group.tickets
+    if start.ticket and tickets.valid_ticket(worker.name, clock.now()) is None:
+        return 'its ticket expired before its start was sent'
+    return ''
 
 
 def _log_start(task: jobtable.Task, worker: fleet.Worker, outcome: str) -> None:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/placement.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/placement.py
@@ -4,6 +4,7 @@
 
 import heapq
 import itertools
+import math
 from collections import abc
 
 import attrs
@@ -60,12 +61,16 @@
 
     ``reserved_ranks`` maps the name of a reserved worker to the rank of the
     gang that reserved it: work of a lower rank may not use the worker.
+    Independent tasks are not placed beyond ``max_placements`` in the pass.
+    Starts reach their workers ``start_delay`` seconds later.
     """
 
     workers: abc.Sequence[fleet.Worker]
     now: float
     reserved_ranks: dict[str, int] = attrs.field(factory=dict)
     placements: list[Placement] = attrs.field(factory=list)
+    max_placements: float = math.inf
+    start_delay: float = 0
     _fast_speed: float = attrs.field(init=False)
     _by_name: dict[str, fleet.Worker] = attrs.field(init=False)
 
@@ -75,6 +80,11 @@
         total = sum(worker.speed for worker in self.workers)
         self._fast_speed = FAST_FACTOR * total / max(1, len(self.workers))
 
+    @property
+    def arrival(self) -> float:
+        """Return when a start that is placed now reaches its worker."""
+        return self.now + self.start_delay
+
     def eligible_workers(
         self, request: PlacementRequest
     ) -> abc.Sequence[fleet.Worker]:
@@ -100,7 +110,7 @@
         valid_names = [
             name
             for name, (_, expires_at) in approvals.items()
-            if self.now < expires_at
+            if self.arrival < expires_at
         ]
         return self._select_by_name(request, valid_names)
 
@@ -153,6 +163,8 @@
     ) -> bool:
         """Place independent tasks on the best workers; return whether all fit.
 
+        The tasks beyond ``max_placements`` count as fitting.
+
         Workers are ranked once: a placement changes only the rank of the
         worker that it uses.
         """
@@ -168,6 +180,8 @@
         ]
         heapq.heapify(ranked)
         for task in never_failed:
+            if len(self.placements) >= self.max_placements:
+                return True
             if not ranked:
                 return False
             worker = self._by_name[ranked[0][1]]
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from collections import abc
 
 import attrs
@@ -147,7 +148,7 @@
         expired = [
             worker
             for worker in approved
-            if tickets.valid_ticket(worker.name, self.placer.now) is None
+            if tickets.valid_ticket(worker.name, self.placer.arrival) is None
         ]
         return any(
             worker.fits(request.step.demand) for worker in unqueried + expired
@@ -166,7 +167,7 @@
         # only once the capacity is there or is about to be.
         tickets = request.group.tickets
         has_expired = any(
-            tickets.valid_ticket(name, self.placer.now) is None
+            tickets.valid_ticket(name, self.placer.arrival) is None
             for name in awaited_workers
         )
         if awaited_workers and has_expired:
@@ -219,14 +220,21 @@
     requests: abc.Iterable[placement.PlacementRequest],
     worker_fleet: fleet.Fleet,
     now: float,
+    max_placements: float = math.inf,
+    start_delay: float = 0,
 ) -> Plan:
     """Place the groups that fit, in the given order.
 
-    The capacity of each placed task is allocated on its worker.
+    The capacity of each placed task is allocated on its worker. No group is
+    placed once there are ``max_placements``; only the last one, a gang, may
+    exceed them. A start is expected to reach its worker after ``start_delay``
+    seconds, with a ticket that is still valid then.
     """
     new_plan = Plan()
     pass_by_service: dict[str, _ServicePass] = {}
     for request in requests:
+        if len(new_plan.placements) >= max_placements:
+            break
         service = request.queue.service
         service_pass = pass_by_service.get(service)
         if service_pass is None:
@@ -234,6 +242,8 @@
                 worker_fleet.usable_workers(service, now),
                 now,
                 placements=new_plan.placements,
+                max_placements=max_placements,
+                start_delay=start_delay,
             )
             service_pass = _ServicePass(new_plan, placer)
             pass_by_service[service] = service_pass
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
@@ -58,10 +58,16 @@
     def _run_pass(self) -> None:
         now = clock.now()
         unix_now = clock.unix()
+        start_limit = self.dispatcher.start_limit
+        available = start_limit.count_available(now)
+        if not available:
+            return
         ready = planner.sort_by_urgency(
             self._ready_groups(now, unix_now), unix_now
         )
-        plan = planner.plan(ready, self.leader.workers, now)
+        plan = planner.plan(
+            ready, self.leader.workers, now, available, start_limit.delay
+        )
         for advice_request in plan.advice_requests:
             self._request_advice(advice_request, now)
         for task in plan.preempted:
@@ -108,7 +114,7 @@
         candidates = client.select_candidates(
             request.group,
             advice_request.usable_workers,
-            now,
+            now + self.dispatcher.start_limit.delay,
             advice_request.awaited_workers,
         )
         if not candidates:
--- a/tests/cluster/test_planner.py
+++ b/tests/cluster/test_planner.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import collections
+
 import attrs
 import pytest
 
@@ -193,6 +195,40 @@
     _run_check(check)
 
 
+def test_a_ticket_must_last_until_the_start_arrives():
+    def check():
+        worker_fleet = _fleet(1)
+        group = _group('g', jobspec.Step(1, LARGE), ADVISED)
+        group.tickets.queried_workers.update(worker_fleet.workers)
+        group.tickets.approvals['w0'] = ('t', 0.3)
+        request = placement.PlacementRequest(ADVISED, group)
+        late = planner.plan([request], worker_fleet, 0, start_delay=0.4)
+        assert not late.placements
+        assert _advised_groups(late) == [group]
+        in_time = planner.plan([request], worker_fleet, 0, start_delay=0.2)
+        assert len(in_time.placements) == 1
+
+    _run_check(check)
+
+
+def test_a_pass_places_no_more_than_the_starts_that_may_be_under_way():
+    def check():
+        worker_fleet = _fleet(4)
+        step = jobspec.Step(6, jobspec.Demand(1000, 100))
+        requests = [
+            placement.PlacementRequest(TOLERANT, _group(name, step))
+            for name in ('first', 'second')
+        ]
+        plan = planner.plan(requests, worker_fleet, 0, 8)
+        placed = collections.Counter(
+            planned.task.name.job for planned in plan.placements
+        )
+        assert placed == {'first': 6, 'second': 2}
+        assert not plan.preempted
+
+    _run_check(check)
+
+
 def test_a_gang_renews_its_tickets_only_once_it_fits():
     def check():
         worker_fleet = _fleet(2)
