--- a/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
@@ -39,6 +39,7 @@
 CLAIM_JITTER_S = 0.05  # spreads the claims of equally capable hosts
 # Claim delay of a host that can lead with one core; half as long with two.
 CLAIM_DELAY_CORE_SECONDS = 0.15
+MAX_CLAIM_DELAY_S = 1.5  # of a host that can hardly lead
 # By how much the best successors go before the other hosts: the time in which
 # they have noticed that the leader failed.
 PRECEDENCE_S = 1.0
@@ -136,7 +137,9 @@
         A host that the leader did not count among its best successors lets
         those go first.
         """
-        delay = CLAIM_DELAY_CORE_SECONDS / self.capacity.leading
+        delay = min(
+            MAX_CLAIM_DELAY_S, CLAIM_DELAY_CORE_SECONDS / self.capacity.leading
+        )
         if not self._is_best_successor:
             delay += PRECEDENCE_S
         return delay + random.uniform(0, CLAIM_JITTER_S)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/leadership.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/leadership.py
@@ -76,6 +76,9 @@
         )
         self.metrics.set_gauge('leader', bool(self.term))
         self.metrics.set_gauge('live_jobs', live_jobs)
+        if self.term is not None:
+            start_limit = self.term.dispatcher.start_limit.limit
+            self.metrics.set_gauge('start_limit', start_limit)
 
     def stop(self) -> None:
         """End the running term and start no other."""
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/metrics.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/metrics.py
@@ -159,5 +159,6 @@
 GAUGE_HELP = {
     'leader': 'One where this host leads.',
     'live_jobs': 'Jobs that have not ended, as this leader knows.',
+    'start_limit': 'Starts that this leader has under way at the most.',
     'log_lines_left_out': 'Log lines left out to bound their volume.',
 }
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
@@ -27,6 +27,7 @@
 # have had one.
 OK = http.HTTPStatus.OK
 NOT_FOUND = http.HTTPStatus.NOT_FOUND
+INVALID = http.HTTPStatus.BAD_REQUEST
 REFUSED = http.HTTPStatus.SERVICE_UNAVAILABLE
 UNKNOWN = http.HTTPStatus.GATEWAY_TIMEOUT
 # JSON, compressed if it is long.
@@ -182,6 +183,8 @@
             )
         try:
             document = await handler(_decode(req.body))
+        except errors.InvalidInputError as exc:
+            return httpmessage.problem_reply(INVALID, str(exc))
         except errors.RefusedError as exc:
             return httpmessage.problem_reply(REFUSED, exc.reason)
         except errors.UnreachableError as exc:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/startlimit.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/startlimit.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from jujubebend_cluster import logs
+
 # Longest median delay from a placement to the worker's answer. It is 0.1 s
 # through a relay while nothing waits, 0.35 s while the store is slow, and tickets
 # are valid for about 2 s.
@@ -78,12 +80,17 @@
 
     def _adjust(self, now: float) -> None:
         delay = statistics.median(self._delays)
+        former_limit = self.limit
         if delay > TARGET_DELAY_S:
             # Little's law: as many as get through in the target delay.
             limit = self._most_open * TARGET_DELAY_S / delay
             self.limit = max(MIN_LIMIT, min(self.limit, limit))
         elif self._most_open >= USED_SHARE * self.limit:
             self.limit *= RAISE
+        if self.limit != former_limit:
+            logs.belief(
+                'start_limit', limit=int(self.limit), delay=round(delay, 3)
+            )
         self.delay = min(delay, TARGET_DELAY_S)
         self._delays.clear()
         self._most_open = len(self._opened_at)
--- a/tests/cluster/test_compression.py
+++ b/tests/cluster/test_compression.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from jujubebend import errors
-from jujubebend_cluster import compression
+from jujubebend_cluster import compression, peers
+from jujubebend_http import httpmessage
 
 DOCUMENT = b'{"tasks": [' + b'"i-2d0c85c524", ' * 100 + b'0]}'
 
@@ -40,3 +43,15 @@
     monkeypatch.setattr(compression, 'MAX_SIZE_BYTES', 100)
     with pytest.raises(errors.InvalidInputError):
         compression.decompress(compression.compress(DOCUMENT))
+
+
+async def _fail_test(document):
+    raise AssertionError('a damaged call was handled')
+
+
+def test_a_damaged_call_from_a_peer_is_answered_as_invalid():
+    server = peers.PeerServer({'relay': _fail_test})
+    body = compression.compress(DOCUMENT)[:-5]
+    req = httpmessage.Request('POST', '/peer/relay', {}, body)
+    reply = asyncio.run(server.handle(req))
+    assert reply.status == peers.INVALID
