--- a/packages/jujubebend-standin/src/jujubebend_standin/emulator/localcluster.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/emulator/localcluster.py
@@ -9,6 +9,7 @@
 import random
 import signal
 import sys
+from collections import abc
 
 import attrs
 
@@ -57,9 +58,24 @@
 address = "{store}"
 [cloud]
 address = "{cloud}"
+[limits]
+cpu_share = {cores}
+link_mbps = {link_mbps}
 """
 
 
+@attrs.frozen
+class HostLimits:
+    """The processor time and the link that a host's settings state.
+
+    ``cores`` are of normal speed, ``link_mbps`` is zero if not stated. The
+    daemon adapts to them; they are not enforced.
+    """
+
+    cores: float = 1
+    link_mbps: float = 0
+
+
 @attrs.define(eq=False)
 class Host:
     """A scheduler daemon; it keeps its addresses across restarts.
@@ -112,11 +128,12 @@
 
     ``folder`` holds settings and logs of the daemons. ``relays`` has one relay
     per host, between the host and the store, and one per worker, between all
-    hosts and the worker.
+    hosts and the worker. The hosts get the ``host_limits`` in turn.
     """
 
     folder: pathlib.Path
     seed: int = 1
+    host_limits: abc.Sequence[HostLimits] = (HostLimits(),)
     store: kv.KvStore = attrs.field(init=False)
     machine_service: machines.MachineService = attrs.field(init=False)
     workers: list[worker.EmulatedWorker] = attrs.field(factory=list)
@@ -216,6 +233,7 @@
 
     def _create_host(self, name: str, store_address: str) -> Host:
         first = ports.find_free_port_range(PORTS_PER_HOST)
+        limits = self.host_limits[len(self.hosts) % len(self.host_limits)]
         settings = self.folder / f'{name}.toml'
         settings.write_text(
             SETTINGS_TEMPLATE.format(
@@ -227,6 +245,8 @@
                 last=first + PORTS_PER_HOST - 1,
                 store=store_address,
                 cloud=self._machine_address,
+                cores=limits.cores,
+                link_mbps=limits.link_mbps,
             )
         )
         return Host(
--- a/packages/jujubebend-standin/src/jujubebend_standin/emulator/soak.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/emulator/soak.py
@@ -23,6 +23,13 @@
 HOSTS = 3
 WORKERS = 5
 WORKER_CPU = 8_000
+# A leader on the second or third host calls workers through relays.
+SMALL_HOST_CORES = 0.05
+HOST_LIMITS = (
+    localcluster.HostLimits(cores=1, link_mbps=100),
+    localcluster.HostLimits(SMALL_HOST_CORES, link_mbps=5),
+    localcluster.HostLimits(SMALL_HOST_CORES, link_mbps=5),
+)
 JOB_INTERVAL_SECONDS = (0.05, 0.3)
 # Shorter than many faults last, so that some faults overlap.
 FAULT_INTERVAL_SECONDS = (0.2, 2.5)
@@ -36,12 +43,14 @@
     """A soak; the same seed draws the same faults in the same order.
 
     ``faults`` is the number of faults to inject. ``injected`` holds the names
-    of those injected so far.
+    of those injected so far. ``hosts`` and ``workers`` are the numbers of each.
     """
 
     folder: pathlib.Path
     seed: int
     faults: int
+    hosts: int = HOSTS
+    workers: int = WORKERS
     cluster: localcluster.LocalCluster = attrs.field(init=False)
     load: loadgenerator.LoadGenerator = attrs.field(init=False)
     rng: random.Random = attrs.field(init=False)
@@ -51,7 +60,9 @@
     def __attrs_post_init__(self) -> None:
         """Create the cluster and the load generator from the seed."""
         self.rng = random.Random(self.seed)  # noqa: S311
-        self.cluster = localcluster.LocalCluster(self.folder, self.seed)
+        self.cluster = localcluster.LocalCluster(
+            self.folder, self.seed, HOST_LIMITS
+        )
         self.load = loadgenerator.LoadGenerator(
             self.cluster,
             random.Random(self.seed),  # noqa: S311
@@ -60,7 +71,7 @@
     async def run(self) -> list[str]:
         """Run the soak; return the violated invariants."""
         try:
-            await self.cluster.start(HOSTS, WORKERS, WORKER_CPU)
+            await self.cluster.start(self.hosts, self.workers, WORKER_CPU)
             submission = asyncio.create_task(self._submit_jobs())
             await self._inject_faults()
             # Submissions in flight are awaited: if one were cancelled, it would
@@ -220,9 +231,19 @@
         self.cluster.write_worker_entry(emulated_worker)
 
 
-def run_soak(folder: pathlib.Path, seed: int, faults: int) -> list[str]:
-    """Run a soak; return the violated invariants."""
-    return asyncio.run(Soak(folder, seed, faults).run())
+def run_soak(
+    folder: pathlib.Path,
+    seed: int,
+    faults: int,
+    hosts: int = HOSTS,
+    workers: int = WORKERS,
+) -> list[str]:
+    """Run a soak; return the violated invariants.
+
+    ``hosts`` and ``workers`` are the numbers of daemons and of workers.
+    """
+    soak = Soak(folder, seed, faults, hosts, workers)
+    return asyncio.run(soak.run())
 
 
 def run_soaks(
