Spread workers over relays again as followers appear

Cause: a new leader knows the one or two followers whose heartbeats came first, assigns them all of its workers at once, and an assignment lasted until the relay failed. So one host called 176 workers.

Evidence: leader_load told 6 to 9 exchanges a second of 90 ms each after the takeover, and 200 of 4 ms before it; orders took 0.27 to 0.34 s.

Change: the list of relays is read twice a second. A relay with more workers than its share gives up the rest as they are called, to the least loaded one.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
@@ -30,6 +30,8 @@
 RENEWAL_SLACK_S = 1.6  # beyond the wait that a lease renewal asked for
 MAX_FAILURES = 2  # consecutive failed exchanges before a relay is dropped
 FAILED_RELAY_BACKOFF_S = 3.0
+# Between two looks at the list of relays. A new leader knows few at first.
+ASSIGNMENT_INTERVAL_S = 0.5
 SESSION_BITS = 64
 
 Exchange = abc.Callable[[str, dict, float], abc.Awaitable[dict]]
@@ -151,6 +153,9 @@
     _routes: dict[str, Route] = attrs.field(factory=dict)
     _relay_by_worker: dict[str, str] = attrs.field(factory=dict)
     _avoided_until: dict[str, float] = attrs.field(factory=dict)
+    _loads: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    _candidates: abc.Sequence[str] = ()
+    _candidates_listed_at: float = -math.inf
 
     def connect_worker(
         self, worker: str, address: str
@@ -163,15 +168,23 @@
         """Return the worker's route, None if it is called directly."""
         if len(self.workers) <= WORKERS_PER_CORE * self.cores:
             return None
-        route = self._routes.get(self._relay_by_worker.get(worker, ''))
-        if route is not None and not route.has_failed:
+        self._update_candidates()
+        address = self._relay_by_worker.get(worker, '')
+        route = self._routes.get(address)
+        is_usable = route is not None and not route.has_failed
+        if is_usable and not self._is_overloaded(address):
             return route
         return self._choose_route(worker)
 
+    def remove_worker(self, worker: str) -> None:
+        """Forget a worker that is not called again."""
+        self.workers.discard(worker)
+        self._assign(worker, '')
+
     def drop_route(self, worker: str, route: Route) -> None:
         """Drop a route that did not reach a worker; another will be chosen."""
         if self._relay_by_worker.get(worker) == route.address:
-            self._relay_by_worker.pop(worker)
+            self._assign(worker, '')
         if route.has_failed:
             self._avoided_until[route.address] = (
                 clock.now() + FAILED_RELAY_BACKOFF_S
@@ -190,24 +203,52 @@
             MIN_EXCHANGE_INTERVAL_S, cost / (MAX_EXCHANGE_SHARE * self.cores)
         )
 
+    def _update_candidates(self) -> None:
+        """List the relays to choose from, at intervals or if there is none."""
+        now = clock.now()
+        elapsed = now - self._candidates_listed_at
+        if self._candidates and elapsed < ASSIGNMENT_INTERVAL_S:
+            return
+        relay_count = math.ceil(len(self.workers) / WORKERS_PER_RELAY)
+        usable = [
+            address
+            for address in self.list_relays()
+            if now >= self._avoided_until.get(address, 0)
+        ]
+        self._candidates = usable[:relay_count]
+        self._candidates_listed_at = now
+
+    def _is_overloaded(self, address: str) -> bool:
+        """Return whether a relay has more than its share of the workers."""
+        if not self._candidates:
+            return False
+        share = math.ceil(len(self.workers) / len(self._candidates))
+        return self._loads[address] > share
+
     def _choose_route(self, worker: str) -> Route | None:
         now = clock.now()
         candidates = [
             address
-            for address in self.list_relays()
+            for address in self._candidates
             if now >= self._avoided_until.get(address, 0)
         ]
-        relay_count = math.ceil(len(self.workers) / WORKERS_PER_RELAY)
-        candidates = candidates[:relay_count]
         if not candidates:
             return None
-        loads = collections.Counter(self._relay_by_worker.values())
         address = min(
-            candidates, key=lambda peer: (loads[peer], random.random())
+            candidates, key=lambda peer: (self._loads[peer], random.random())
         )
-        self._relay_by_worker[worker] = address
+        self._assign(worker, address)
         return self._open_route(address)
 
+    def _assign(self, worker: str, address: str) -> None:
+        """Assign a worker to a relay, or to none if ``address`` is empty."""
+        former_address = self._relay_by_worker.pop(worker, '')
+        if former_address:
+            self._loads[former_address] -= 1
+        if address:
+            self._relay_by_worker[worker] = address
+            self._loads[address] += 1
+
     def _open_route(self, address: str) -> Route:
         route = self._routes.get(address)
         if route is None or route.has_failed:
@@ -282,7 +323,7 @@
 
     async def close(self) -> None:
         """Close the direct connections; the worker is not called again."""
-        self.router.workers.discard(self.worker)
+        self.router.remove_worker(self.worker)
         if self._opened_calls is not None:
             await self._opened_calls.close()
 
--- a/tests/cluster/test_relay.py
+++ b/tests/cluster/test_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 
 import attrs
 import orjson
@@ -149,6 +150,36 @@
     _run_scenario(scenario)
 
 
+def _count_workers_by_relay(router, workers):
+    return collections.Counter(
+        router.route_to(name).address for name in workers
+    )
+
+
+def test_a_new_leader_does_not_keep_all_workers_on_its_first_follower():
+    async def main():
+        relays = ['d1']
+        router = relay.Router(
+            None, None, lambda: relays, lambda coro: coro.close(), 0.01
+        )
+        names = [f'w{number}' for number in range(3 * relay.WORKERS_PER_RELAY)]
+        for name in names:
+            router.connect_worker(name, name)
+        assert _count_workers_by_relay(router, names) == {'d1': len(names)}
+        relays.extend(('d2', 'd3', 'd4'))
+        await asyncio.sleep(2 * relay.ASSIGNMENT_INTERVAL_S)
+        assert _count_workers_by_relay(router, names) == {
+            'd1': relay.WORKERS_PER_RELAY,
+            'd2': relay.WORKERS_PER_RELAY,
+            'd3': relay.WORKERS_PER_RELAY,
+        }
+        before = {name: router.route_to(name) for name in names}
+        await asyncio.sleep(2 * relay.ASSIGNMENT_INTERVAL_S)
+        assert before == {name: router.route_to(name) for name in names}
+
+    virtualtime.run(main)
+
+
 def test_without_a_relay_workers_are_called_directly():
     async def scenario(cluster):
         leader_term, relay_network, _ = await _start_term_with_relays(cluster)
