--- a/packages/jujubebend-standin/src/jujubebend_standin/emulator/localcluster.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/emulator/localcluster.py
@@ -260,9 +260,17 @@
 
 
 async def wait_until_ready(host: Host) -> None:
-    """Poll a host until its daemon is ready."""
+    """Poll a host until its daemon is ready.
+
+    Raises ``UnreachableError`` if the daemon exits before.
+    """
     async with httpclient.open_client(host.ready_address, 1) as client:
         while True:
+            if host.process is not None and host.process.returncode is not None:
+                raise errors.UnreachableError(
+                    f'{host.name} ended with status {host.process.returncode} '
+                    f'before it was ready; see {host.log_file}'
+                )
             try:
                 reply = await client.call('GET', '/jujubebend/ready', timeout=1)
             except errors.JujubebendError:
--- a/packages/jujubebend-standin/src/jujubebend_standin/ports.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/ports.py
@@ -9,6 +9,9 @@
 # takes a port between its choice and its use.
 LOWEST_PORT = 10_000
 HIGHEST_PORT = 32_000
+# Ports of ranges that this process has given out. A daemon binds its ports some
+# time later, and again after each restart.
+_reserved_ports: set[int] = set()
 
 
 def find_free_ports(count: int) -> list[int]:
@@ -23,11 +26,17 @@
 
 
 def find_free_port_range(count: int) -> int:
-    """Return the first of ``count`` consecutive free ports."""
+    """Return the first of ``count`` consecutive free ports.
+
+    No port is returned twice by one process.
+    """
     rng = random.SystemRandom()
     while True:
         first = rng.randrange(LOWEST_PORT, HIGHEST_PORT - count)
-        if all(_is_free(first + offset) for offset in range(count)):
+        port_range = range(first, first + count)
+        is_reserved = not _reserved_ports.isdisjoint(port_range)
+        if not is_reserved and all(map(_is_free, port_range)):
+            _reserved_ports.update(port_range)
             return first
 
 
--- a/tests/emulator/test_localcluster.py
+++ b/tests/emulator/test_localcluster.py
@@ -9,7 +9,10 @@
 import sys
 
 import orjson
+import pytest
 
+from jujubebend import errors
+from jujubebend_standin import ports
 from jujubebend_standin.emulator import checks, loadgenerator, localcluster
 
 WAVE = {'wave': 1, 'within_s': 12, 'max_count': 1}
@@ -86,3 +89,25 @@
             assert state['config_revision'] == 1
 
     asyncio.run(main())
+
+
+def test_hosts_of_a_large_cluster_get_ports_of_their_own():
+    count = localcluster.PORTS_PER_HOST
+    taken = set()
+    for _ in range(300):
+        first = ports.find_free_port_range(count)
+        assert taken.isdisjoint(range(first, first + count))
+        taken.update(range(first, first + count))
+
+
+def test_a_daemon_that_exits_early_fails_the_start(tmp_path):
+    async def main():
+        cluster = localcluster.LocalCluster(tmp_path)
+        host = cluster._create_host('host-0', '127.0.0.1:1')
+        host.settings.write_text('not settings')
+        await host.start()
+        async with asyncio.timeout(COMPLETION_LIMIT_SECONDS):
+            await localcluster.wait_until_ready(host)
+
+    with pytest.raises(errors.UnreachableError, match='host-0 ended'):
+        asyncio.run(main())
