Say what a router's cores are; look for the highest capacity without sorting

Read through the whole change: the router's field cores holds what the host can lead with, not its cores, and nothing said so; is_best_successor sorted all followers to find one.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
@@ -109,8 +109,8 @@
             return False
         task.is_start_sent = True
         controller = self.leader.controllers[worker.name]
-        ready_at = task.group.ready_at or clock.now()
         sent_at = clock.now()
+        ready_at = task.group.ready_at or sent_at
         self.leader.metrics.observe('start_wait', sent_at - ready_at)
         order_result = await controller.start_run(task, start.ticket)
         self.leader.metrics.observe('order', clock.now() - sent_at)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/followers.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/followers.py
@@ -1,6 +1,7 @@
 """Peers that send this host heartbeats while it leads.
 
-The leader may use them as relays for its calls to workers.
+The leader may use them as relays for its calls to workers, and tells them which
+of them should claim first when it fails.
 """
 
 from __future__ import annotations
@@ -46,11 +47,11 @@
 
     def is_best_successor(self, address: str) -> bool:
         """Return whether no follower is much more capable than this one."""
-        best = self._followers[self.addresses_by_capacity()[0]]
-        follower = self._followers[address]
-        return (
-            follower.capacity.leading >= SUCCESSOR_SHARE * best.capacity.leading
+        highest = max(
+            follower.capacity.leading for follower in self._followers.values()
         )
+        own = self._followers[address].capacity.leading
+        return own >= SUCCESSOR_SHARE * highest
 
     def remove_silent(self) -> list[str]:
         """Remove followers whose heartbeats stopped; return their addresses."""
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
@@ -141,7 +141,11 @@
     """Chooses the route to each worker: direct, or through a relay.
 
     ``list_relays`` returns the addresses of usable relays, the preferred first.
-    ``workers`` holds the IDs of the workers in use.
+    ``cores`` is how many cores a leader on this host can make use of, see
+    ``hostcapacity``. ``workers`` holds the IDs of the workers in use.
+
+    Each worker has one relay at a time, by ``_relay_by_worker``; ``_loads``
+    counts the workers of each relay.
     """
 
     connect_directly: abc.Callable[[str, str], interfaces.WorkerCalls]
