Send the stop of a cancelled run once its worker is known

Cause, from its replay: a leader that takes over reads cancellations before it has read the list of workers. stop_run marked the run as stopping, found no controller for its worker and sent nothing, and every later attempt returned at once because the run was already stopping. Tasks that end by themselves hide it; a lasting one runs for good.

Change: the stop is sent when the worker first lists a run that is stopping, once for each run. The new test fails without it.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
@@ -58,9 +58,19 @@
             percent=task.percent,
             why=why,
         )
+        self.send_stop(task)
+
+    def send_stop(self, task: jobtable.Task) -> None:
+        """Send the stop of a task that is being stopped, once for each run.
+
+        A new leader applies cancellations before it knows the workers, so the
+        stop is sent when the worker first lists the run.
+        """
         controller = self.leader.controllers.get(task.worker)
-        if controller is not None and task.is_start_sent:
-            self.leader.spawn(controller.stop_run(task))
+        if controller is None or not task.is_start_sent or task.is_stop_sent:
+            return
+        task.is_stop_sent = True
+        self.leader.spawn(controller.stop_run(task))
 
     def stop_job(self, job: jobtable.Job) -> None:
         """Stop all runs of a job."""
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/jobtable.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/jobtable.py
@@ -20,7 +20,9 @@
     worker when the run was placed. ``answered_at`` is when the worker
     answered a start or stop of this run: a status of the worker that was
     requested later than that must list the run, or the run is over.
-    ``is_start_sent`` is set if an order to start this run may have been sent.
+    ``is_start_sent`` is set if an order to start this run may have been sent,
+    and ``is_stop_sent`` if an order to stop it is being sent until the worker
+    answers.
 
     ``tail_latency_s`` is the latency that a serving task measures.
     ``acknowledged_pace`` is the pace in percent that the worker last accepted
@@ -41,6 +43,7 @@
     answered_at: float | None = None
     is_stopping: bool = False
     is_start_sent: bool = False
+    is_stop_sent: bool = False
     percent: int = 0
     progressed_at: float = 0
     tail_latency_s: float = 0
@@ -223,6 +226,7 @@
         task.answered_at = None
         task.is_stopping = False
         task.is_start_sent = False
+        task.is_stop_sent = False
         task.percent = 0
         task.tail_latency_s = 0
         task.acknowledged_pace = None
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/reconciler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/reconciler.py
@@ -182,6 +182,8 @@
                 self._stop_unknown_run(worker, active_run)
                 continue
             listed_tasks.add(active_run.task)
+            if task.is_stopping:
+                self.dispatcher.send_stop(task)
             self._apply_progress(worker, task, active_run, now)
         listed_tasks.update(end.task for end in status.ended)
         for task in list(worker.tasks.values()):
--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -458,6 +458,32 @@
     harness.run_scenario(scenario, *workers)
 
 
+def test_a_cancellation_between_two_leaders_stops_the_lasting_runs():
+    """The new leader reads the cancellation before it knows any worker."""
+
+    async def scenario(cluster):
+        await cluster.start_term(1)
+        step = jobspec.Step(2, jobspec.Demand(1_000, 10), lasting=True)
+        cluster.submit_job(fakecluster.job('j', step))
+        workers = cluster.workers.values()
+        await harness.wait_until(
+            lambda: sum(len(worker.runs) for worker in workers) == 2
+        )
+        await cluster.kill_leader()
+        cluster.cancel('j')
+        await cluster.start_term(2)
+        await harness.wait_until(
+            lambda: not any(worker.runs for worker in workers), 3
+        )
+        assert len(harness.find_starts(cluster, 'j')) == 2
+
+    harness.run_scenario(
+        scenario,
+        fakecluster.Worker('w1', seconds=100),
+        fakecluster.Worker('w2', seconds=100),
+    )
+
+
 def test_submissions_are_listed_again_after_the_history_was_compacted():
     """The watch cannot resume, so a job submitted meanwhile could be missed."""
 
