Decode every message with typed errors, so that a malformed one costs only itself

What operators of similar systems met: one malformed message took a whole process down. It could happen here: a property test that damages valid messages of each peer found decoders that raised TypeError, KeyError, AttributeError or OverflowError, which end the task that reads them, and with it the leader's term or the daemon (replies of workers, store, advice, machines and peers; exchanges of relays; records of jobs, of progress and of the leader).

Change: jujubebend.decoding checks types and ranges. A damaged reply counts as no answer (MalformedReplyError, the call may have taken effect), a damaged call from a peer is answered with 400 and has no effect, a damaged record leaves out its job and nothing else, a damaged leader record names no leader and its epoch is taken from the store's revision, so tokens still rise. Unexpected errors of handlers are logged, counted (metric faults) and answered; a caller is told that the outcome is unknown, never that the request has not run.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/app.py
@@ -143,16 +143,38 @@
         await self._start_server(
             self.addresses.metrics, self._handle_operator_request
         )
-        await self._start_server(self.addresses.front, caller_gateway.handle)
+        await self._start_server(
+            self.addresses.front, caller_gateway.handle, self._reply_to_fault
+        )
 
     async def _start_server(
-        self, address: str, handler: httpserver.Handler
+        self,
+        address: str,
+        handler: httpserver.Handler,
+        reply_to_error: httpserver.ErrorHandler = httpserver.reply_to_error,
     ) -> None:
-        server = httpserver.Server(handler)
+        def handle_error(
+            req: httpmessage.Request, exc: Exception
+        ) -> httpmessage.Reply:
+            logs.lifecycle('error', what=f'{req.method} {req.path}: {exc!r}')
+            self.metrics.count('faults', where=address)
+            return reply_to_error(req, exc)
+
+        server = httpserver.Server(handler, handle_error=handle_error)
         host, _, port = address.rpartition(':')
         await server.start(host, int(port))
         self._servers.append(server)
 
+    def _reply_to_fault(
+        self, req: httpmessage.Request, exc: Exception
+    ) -> httpmessage.Reply:
+        """Tell a caller that its request may have taken effect."""
+        return self.caller_format.error_reply(
+            http.HTTPStatus.GATEWAY_TIMEOUT,
+            f'unknown: the request met a fault ({type(exc).__name__}); '
+            'ask again',
+        )
+
     async def _shut_down(self, tasks: list[asyncio.Task]) -> None:
         logs.lifecycle('stop')
         self._is_stopping = True
@@ -172,6 +194,7 @@
             await server.stop(0)
         for outcome in outcomes:
             if isinstance(outcome, Exception):
+                logs.lifecycle('error', what=f'the daemon ends: {outcome!r}')
                 raise outcome
 
     async def _flush_logs(self) -> None:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/committer.py
@@ -15,7 +15,7 @@
 import attrs
 import orjson
 
-from jujubebend import errors
+from jujubebend import decoding, errors
 from jujubebend_cluster import clock, interfaces, logs, metrics
 
 LEADER_KEY = 'lead'
@@ -55,8 +55,19 @@
 
 
 def parse_leader(body: bytes) -> LeaderRecord:
-    """Parse a leader record as ``LeaderRecord.encode`` wrote it."""
-    return LeaderRecord(**orjson.loads(body))
+    """Parse a leader record as ``LeaderRecord.encode`` wrote it.
+
+    Raises ``MalformedReplyError`` if the body is damaged. Fields that another
+    build adds are ignored.
+    """
+    with decoding.reply_from('the store: leader record'):
+        document = orjson.loads(body)
+        return LeaderRecord(
+            host=decoding.to_text(document['host']),
+            address=decoding.to_text(document['address']),
+            epoch=decoding.to_count(document['epoch']),
+            serial=decoding.to_count(document['serial']),
+        )
 
 
 class Entry(Protocol):
@@ -247,7 +258,10 @@
             return False
         if item is None or item.body is None:
             raise DeposedError('the leader record was deleted from the store')
-        stored_record = parse_leader(item.body)
+        try:
+            stored_record = parse_leader(item.body)
+        except errors.MalformedReplyError as exc:
+            raise DeposedError(f'the leader record was damaged: {exc}') from exc
         if stored_record.epoch != record.epoch:
             raise DeposedError(
                 f'{stored_record.host} leads with epoch {stored_record.epoch}, '
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/configwatcher.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/configwatcher.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from jujubebend import decoding
 from jujubebend_cluster import interfaces, jobspec, logs, watcher, waves
 
 
@@ -47,7 +48,7 @@
                 self._apply_config(body)
             else:
                 self._apply_wave(key, body)
-        except (ValueError, KeyError, TypeError) as exc:
+        except decoding.DECODE_ERRORS as exc:
             logs.lifecycle('error', what=f'{key}: {exc!r}')
 
     def _apply_wave(self, key: str, body: bytes | None) -> None:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/elector.py
@@ -120,7 +120,7 @@
         if item is None or item.body is None:
             self.record = None
         elif revision != self.revision:
-            self._update_record(committer.parse_leader(item.body))
+            self._update_record(_parse_leader(item.body, revision))
         if revision != self.revision or not self.record_changed_at:
             self.revision = revision
             self.record_changed_at = now
@@ -249,3 +249,17 @@
             self._handle_reported_silence(reply.silence)
         elif reply.epoch < record.epoch:
             self._has_leader_failed = True
+
+
+def _parse_leader(body: bytes, revision: int) -> committer.LeaderRecord:
+    """Parse the leader record; one that is damaged names no leader.
+
+    Its epoch is then taken from the store's revision, which has risen with
+    each former epoch, so that the next leader's fencing tokens are higher than
+    those of every former one.
+    """
+    try:
+        return committer.parse_leader(body)
+    except errors.MalformedReplyError as exc:
+        logs.belief('leader_record_damaged', revision=revision, why=str(exc))
+        return committer.LeaderRecord('', '', epoch=revision, serial=0)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/leaderstate.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/leaderstate.py
@@ -140,4 +140,5 @@
             self.end_term(str(exc))
         elif exc is not None:
             logs.lifecycle('error', what=repr(exc))
+            self.metrics.count('faults', where='leader')
             self.end_term(f'background task of the leader failed: {exc!r}')
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/metrics.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/metrics.py
@@ -142,6 +142,7 @@
     'commits': 'Commits to the store by this leader, by outcome.',
     'advice_calls': 'Calls for advice by this leader, by outcome.',
     'holds': 'Holds of workers by this leader, by outcome.',
+    'faults': 'Unexpected errors, by the address or the part they met.',
     'commit_bytes': 'Bytes of records that this leader committed.',
     'exchange_bytes': 'Bytes exchanged with relays by this leader.',
 }
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
@@ -9,11 +9,12 @@
 import attrs
 import orjson
 
-from jujubebend import errors
+from jujubebend import decoding, errors
 from jujubebend_cluster import (
     clock,
     compression,
     hostcapacity,
+    logs,
     metrics,
     progress,
 )
@@ -75,25 +76,30 @@
             {'address': self.address, **attrs.asdict(self.capacity)},
             HEARTBEAT_TIMEOUT_S,
         )
-        return HeartbeatReply(**document)
+        with decoding.reply_from(address):
+            return _to_heartbeat_reply(document)
 
     async def fetch_state(
         self, address: str, job: str
     ) -> progress.JobState | None:
         """Ask the leader for a job's state; None if it knows no such job."""
         document = await self._call(address, 'state', {'job': job})
-        state = document['state']
-        return progress.JobState(state) if state else None
+        with decoding.reply_from(address):
+            state = document['state']
+            return progress.JobState(state) if state else None
 
     async def count_waiting_jobs(self, address: str, queue: str) -> int:
         """Ask the leader how many of a queue's jobs have not started."""
         document = await self._call(address, 'count', {'queue': queue})
-        return document['waiting']
+        with decoding.reply_from(address):
+            return decoding.to_count(document['waiting'])
 
     async def store_job(self, address: str, job: str, body: bytes) -> bool:
         """Have a peer write a job that must not exist; False if it does."""
         document = {'job': job, 'body': base64.b64encode(body).decode()}
-        return (await self._call(address, 'store', document))['created']
+        answer = await self._call(address, 'store', document)
+        with decoding.reply_from(address):
+            return bool(answer['created'])
 
     async def ask_advice(
         self,
@@ -110,7 +116,11 @@
         answer = await self._call(
             address, 'advise', document, CALL_TIMEOUT_S + wait
         )
-        return answer['good']
+        with decoding.reply_from(address):
+            return {
+                decoding.to_text(worker): decoding.to_text(ticket)
+                for worker, ticket in answer['good'].items()
+            }
 
     async def relay_calls(
         self, address: str, document: dict, timeout: float
@@ -125,7 +135,8 @@
         self.metrics.observe('exchange', clock.now() - started_at)
         size = len(body) + len(reply.body)
         self.metrics.count_bytes('exchange_bytes', size)
-        return _decode(reply.body)
+        with decoding.reply_from(address):
+            return _decode(reply.body)
 
     async def close(self) -> None:
         """Close the idle connections."""
@@ -141,7 +152,8 @@
     ) -> dict:
         body = _encode(document)
         reply = await self._send(address, call_name, body, timeout)
-        return _decode(reply.body)
+        with decoding.reply_from(address):
+            return _decode(reply.body)
 
     async def _send(
         self, address: str, call_name: str, body: bytes, timeout: float
@@ -183,8 +195,10 @@
             )
         try:
             document = await handler(_decode(req.body))
-        except errors.InvalidInputError as exc:
-            return httpmessage.problem_reply(INVALID, str(exc))
+        except decoding.DECODE_ERRORS as exc:
+            found = decoding.describe(exc)
+            logs.decision('peer_call_malformed', call=req.path, why=found)
+            return httpmessage.problem_reply(INVALID, found)
         except errors.RefusedError as exc:
             return httpmessage.problem_reply(REFUSED, exc.reason)
         except errors.UnreachableError as exc:
@@ -197,4 +211,19 @@
 
 
 def _decode(body: bytes) -> dict:
-    return orjson.loads(compression.decompress(body))
+    document = orjson.loads(compression.decompress(body))
+    if not isinstance(document, dict):
+        raise TypeError(f'expected an object, found {document!r}')
+    return document
+
+
+def _to_heartbeat_reply(document: dict) -> HeartbeatReply:
+    """Decode a reply; fields that another build adds are ignored."""
+    return HeartbeatReply(
+        epoch=decoding.to_count(document['epoch']),
+        speaks=bool(document['speaks']),
+        silence=decoding.to_number(document.get('silence', 0)),
+        pause=decoding.to_number(document.get('pause', HEARTBEAT_INTERVAL_S)),
+        busy=bool(document.get('busy')),
+        successor=bool(document.get('successor', True)),
+    )
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/progress.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/progress.py
@@ -8,6 +8,7 @@
 import attrs
 import orjson
 
+from jujubebend import decoding
 from jujubebend_cluster import compression
 
 
@@ -95,15 +96,50 @@
 
 
 def decode_progress(body: bytes) -> Progress:
-    """Decode a record written by ``Progress.encode``."""
+    """Decode a record written by ``Progress.encode``.
+
+    Raises ``InvalidInputError`` if it is damaged.
+    """
+    try:
+        return _decode_progress(body)
+    except decoding.DECODE_ERRORS as exc:
+        raise decoding.damaged_record('progress', exc) from exc
+
+
+def _decode_progress(body: bytes) -> Progress:
     document = orjson.loads(compression.decompress(body))
-    tasks = document.get('tasks', {})
     return Progress(
         JobState(document['state']),
         {
-            key: TaskProgress(TaskState(row[0]), *row[1:])
-            for key, row in tasks.items()
+            _check_key(key): _decode_task(row)
+            for key, row in document.get('tasks', {}).items()
         },
-        document.get('gangs', {}),
-        document.get('done', {}),
+        {
+            _check_key(key): decoding.to_count(failures)
+            for key, failures in document.get('gangs', {}).items()
+        },
+        {
+            _check_key(key): [decoding.to_count(index) for index in indices]
+            for key, indices in document.get('done', {}).items()
+        },
+    )
+
+
+def _check_key(key: str) -> str:
+    """Return a key of numbers joined by dots; raises ``ValueError``."""
+    for number in key.split('.'):
+        int(number)
+    return key
+
+
+def _decode_task(row: list) -> TaskProgress:
+    state, run, worker, *rest = row
+    incarnation, failures, checkpoint = rest
+    return TaskProgress(
+        TaskState(state),
+        decoding.to_count(run),
+        decoding.to_text(worker),
+        decoding.to_count(incarnation),
+        decoding.to_count(failures),
+        decoding.to_text(checkpoint),
     )
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/reconciler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/reconciler.py
@@ -182,8 +182,6 @@
                 self._stop_unknown_run(worker, active_run)
                 continue
             listed_tasks.add(active_run.task)
-            if task.is_stopping:
-                self.dispatcher.send_stop(task)
             self._apply_progress(worker, task, active_run, now)
         listed_tasks.update(end.task for end in status.ended)
         for task in list(worker.tasks.values()):
@@ -227,6 +225,8 @@
         now: float,
     ) -> None:
         task.group.job.has_started = True
+        if task.is_stopping:
+            self.dispatcher.send_stop(task)
         if active_run.checkpoint:
             task.checkpoint = active_run.checkpoint
         if task.group.step.latency_target:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
@@ -17,7 +17,7 @@
 
 import attrs
 
-from jujubebend import errors
+from jujubebend import decoding, errors
 from jujubebend_cluster import clock, interfaces, logs, relaycodec
 
 WORKERS_PER_CORE = 80  # called directly; with more, relays call them all
@@ -111,15 +111,21 @@
             'taken': self._received,
         }
         reply = await self.exchange(self.address, document, EXCHANGE_TIMEOUT_S)
+        with decoding.reply_from(f'relay {self.address}'):
+            is_fresh = bool(reply['fresh'])
+            answers = [
+                (decoding.to_count(number), answer)
+                for number, answer in reply['answers']
+            ]
         self._outbox = self._outbox[len(batch) :]
-        if reply['fresh'] and self._has_session:
+        if is_fresh and self._has_session:
             # The relay restarted and has lost the earlier calls.
             self._fail_calls(earlier_calls)
             self._received = 0
             self.payloads = relaycodec.PayloadCache()
         self._has_session = True
-        self._received += len(reply['answers'])
-        for number, answer in reply['answers']:
+        self._received += len(answers)
+        for number, answer in answers:
             fut = self._pending.get(number)
             if fut is not None and not fut.done():
                 fut.set_result(answer)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/relaycodec.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/relaycodec.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from jujubebend import errors
-from jujubebend_cluster import interfaces, jobspec
+from jujubebend import decoding, errors
+from jujubebend_cluster import interfaces, jobspec, logs
 
 # Names of calls.
 START = 'start'
@@ -91,6 +91,9 @@
         answer = await _call_worker(calls, call_name, row, payloads)
     except errors.JujubebendError as exc:
         return [_UNANSWERED, str(exc)]
+    except decoding.DECODE_ERRORS as exc:
+        logs.decision('call_malformed', call=call_name, why=repr(exc))
+        return [_UNANSWERED, decoding.describe(exc)]
     if isinstance(answer, interfaces.OrderResult):
         return [_ORDER_RESULT, answer.value]
     running = answer.running
@@ -109,6 +112,13 @@
     row: list,
 ) -> interfaces.WorkerStatus | interfaces.OrderResult:
     """Decode an answer; raises ``UnreachableError`` if there was none."""
+    with decoding.reply_from('a relay'):
+        return _decode_answer(row)
+
+
+def _decode_answer(
+    row: list,
+) -> interfaces.WorkerStatus | interfaces.OrderResult:
     answer_type, *rest = row
     if answer_type == _UNANSWERED:
         raise errors.UnreachableError(rest[0])
@@ -116,8 +126,8 @@
         return interfaces.OrderResult(rest[0])
     clock, born, running, ended = rest
     return interfaces.WorkerStatus(
-        clock,
-        born,
+        decoding.to_number(clock),
+        decoding.to_count(born),
         None if running is None else tuple(map(_decode_active_run, running)),
         tuple(map(_decode_ended_run, ended)),
     )
@@ -135,7 +145,7 @@
             token, last_end, until, wait, list_runs=list_runs
         )
     name, *rest = row
-    task = jobspec.TaskName(*name)
+    task = _decode_task_name(name)
     if call_name == START:
         run, sent_payload, *rest = rest
         payload = payloads.decode(task.job, sent_payload)
@@ -152,8 +162,25 @@
     return [*name, run.run, run.checkpoint, run.percent, run.usage]
 
 
+def _decode_task_name(row: list) -> jobspec.TaskName:
+    job, occurrence, step, index = row
+    return jobspec.TaskName(
+        decoding.to_text(job),
+        decoding.to_int(occurrence),
+        decoding.to_int(step),
+        decoding.to_int(index),
+    )
+
+
 def _decode_active_run(row: list) -> interfaces.ActiveRun:
-    return interfaces.ActiveRun(jobspec.TaskName(*row[:4]), *row[4:])
+    run, checkpoint, percent, usage = row[4:]
+    return interfaces.ActiveRun(
+        _decode_task_name(row[:4]),
+        decoding.to_int(run),
+        decoding.to_text(checkpoint),
+        decoding.to_number(percent),
+        decoding.to_number(usage),
+    )
 
 
 def _encode_ended_run(run: interfaces.EndedRun) -> list:
@@ -164,9 +191,9 @@
 def _decode_ended_run(row: list) -> interfaces.EndedRun:
     number, run, outcome, checkpoint = row[4:]
     return interfaces.EndedRun(
-        number,
-        jobspec.TaskName(*row[:4]),
-        run,
+        decoding.to_int(number),
+        _decode_task_name(row[:4]),
+        decoding.to_int(run),
         interfaces.RunOutcome(outcome),
-        checkpoint,
+        decoding.to_text(checkpoint),
     )
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/relayserver.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/relayserver.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from jujubebend import decoding
 from jujubebend_cluster import clock, interfaces, logs, relaycodec
 
 SESSION_TIMEOUT_S = 6.0  # without an exchange; the leader is gone by then
@@ -58,16 +59,23 @@
     _sessions: dict[str, _Session] = attrs.field(factory=dict)
 
     async def exchange(self, document: dict) -> dict:
-        """Start the new calls; return the answers not yet confirmed."""
-        session_id = document['session']
+        """Start the new calls; return the answers not yet confirmed.
+
+        Raises one of ``decoding.DECODE_ERRORS`` if the document is malformed.
+        """
+        session_id = decoding.to_text(document['session'])
+        taken = decoding.to_count(document['taken'])
+        # All calls are decoded before any is made, so a malformed exchange has
+        # no effect.
+        calls_to_make = [_decode_call(row) for row in document['calls']]
         is_new = session_id not in self._sessions
         if is_new:
             logs.belief('deputy', session=session_id)
             await self._drop_idle_sessions()
         session = self._sessions.setdefault(session_id, _Session())
         session.last_used_at = clock.now()
-        session.drop_confirmed(document['taken'])
-        for number, call_name, worker, address, *row in document['calls']:
+        session.drop_confirmed(taken)
+        for number, call_name, worker, address, row in calls_to_make:
             if number <= session.highest_call:
                 continue
             session.highest_call = number
@@ -101,6 +109,17 @@
                 await calls.close()
 
 
+def _decode_call(row: list) -> tuple[int, str, str, str, list]:
+    number, call_name, worker, address, *arguments = row
+    return (
+        decoding.to_count(number),
+        decoding.to_text(call_name),
+        decoding.to_text(worker),
+        decoding.to_text(address),
+        arguments,
+    )
+
+
 async def _execute_call(
     session: _Session,
     number: int,
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/submissions.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/submissions.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from jujubebend import errors
+from jujubebend import decoding, errors
 from jujubebend_cluster import (
     clock,
     committer,
@@ -29,12 +29,13 @@
     """Adds submitted jobs to the job table and applies cancellations.
 
     ``_cancelled_early`` holds the IDs of jobs whose cancellation was read
-    before their submission.
+    before their submission, and ``_damaged`` those with a damaged record.
     """
 
     leader: leaderstate.LeaderState
     dispatcher: dispatcher.Dispatcher
     _cancelled_early: set[str] = attrs.field(factory=set)
+    _damaged: set[str] = attrs.field(factory=set)
 
     async def load_jobs(self) -> watcher.PrefixWatcher:
         """Load every recorded job; return the watcher that follows changes."""
@@ -54,10 +55,7 @@
                 # leader that does not commit.
                 await asyncio.sleep(0)
         for name, body in progress_bodies.items():
-            # The submission of a job that is over has been deleted.
-            self.leader.job_table.add_ended_job(
-                name, progress.decode_progress(body).state
-            )
+            self._load_ended_job(name, body)
         for item in inbox_items:
             self._apply_change(item.key, item)
         logs.belief(
@@ -86,25 +84,48 @@
     def _load_job(
         self, name: str, body: bytes, progress_body: bytes | None
     ) -> None:
-        record = (
-            progress.decode_progress(progress_body) if progress_body else None
-        )
-        if record is not None and record.is_over():
-            self.leader.job_table.add_ended_job(name, record.state)
+        """Load a job; one with a damaged record is left out, and never runs."""
+        try:
+            record = (
+                progress.decode_progress(progress_body)
+                if progress_body
+                else None
+            )
+            if record is not None and record.is_over():
+                self.leader.job_table.add_ended_job(name, record.state)
+            else:
+                self.leader.job_table.add(jobrecords.decode_job(body), record)
+        except decoding.DECODE_ERRORS as exc:
+            self._leave_out(name, exc)
+
+    def _load_ended_job(self, name: str, progress_body: bytes) -> None:
+        """Load a job that is over: its submission has been deleted."""
+        try:
+            record = progress.decode_progress(progress_body)
+        except errors.InvalidInputError as exc:
+            self._leave_out(name, exc)
         else:
-            self.leader.job_table.add(jobrecords.decode_job(body), record)
+            self.leader.job_table.add_ended_job(name, record.state)
+
+    def _leave_out(self, name: str, exc: Exception) -> None:
+        self._damaged.add(name)
+        logs.decision('job_left_out', job=name, why=decoding.describe(exc))
 
     def _apply_change(self, key: str, item: interfaces.Item | None) -> None:
         if item is None or item.body is None:
             return
         if key.startswith(keys.JOBS):
-            self._add_job(item.body)
+            self._add_job(key.removeprefix(keys.JOBS), item.body)
         elif key.startswith(keys.CANCELS):
             self._apply_cancellation(key.removeprefix(keys.CANCELS))
 
-    def _add_job(self, body: bytes) -> None:
-        spec = jobrecords.decode_job(body)
-        if spec.job in self.leader.job_table.jobs:
+    def _add_job(self, name: str, body: bytes) -> None:
+        if name in self._damaged or name in self.leader.job_table.jobs:
+            return
+        try:
+            spec = jobrecords.decode_job(body)
+        except errors.InvalidInputError as exc:
+            self._leave_out(name, exc)
             return
         job = self.leader.job_table.add(spec)
         logs.decision('queued', job=spec.job, queue=spec.queue)
--- a/packages/jujubebend-http/src/jujubebend_http/httpserver.py
+++ b/packages/jujubebend-http/src/jujubebend_http/httpserver.py
@@ -13,6 +13,8 @@
 from jujubebend_http import httpmessage
 
 Handler = abc.Callable[[httpmessage.Request], abc.Awaitable[httpmessage.Reply]]
+# Returns the reply to a request whose handler raised an unexpected exception.
+ErrorHandler = abc.Callable[[httpmessage.Request, Exception], httpmessage.Reply]
 # Time for a client to read the reply to a rejected request before the
 # connection is closed.
 CLOSE_GRACE_SECONDS = 0.2
@@ -45,6 +47,16 @@
         self.reply = reply
 
 
+def reply_to_error(
+    req: httpmessage.Request, exc: Exception
+) -> httpmessage.Reply:
+    """Return the usual reply to a request whose handler failed."""
+    title = f'{req.method} {req.path} failed: {type(exc).__name__}'
+    return httpmessage.problem_reply(
+        http.HTTPStatus.INTERNAL_SERVER_ERROR, title
+    )
+
+
 @attrs.define(eq=False)
 class Server:
     """A server that passes every request to one handler.
@@ -52,11 +64,14 @@
         server = Server(handle, Limits())
         await server.start('127.0.0.1', 8000)
 
-    ``stop`` lets the requests in progress finish.
+    ``stop`` lets the requests in progress finish. ``handle_error`` replies to
+    a request whose handler raised an unexpected exception; the connection and
+    its other requests go on.
     """
 
     handler: Handler
     limits: Limits = attrs.field(factory=Limits)
+    handle_error: ErrorHandler = reply_to_error
     port: int = 0
     _listener: asyncio.Server | None = None
     _connection_tasks: set[asyncio.Task] = attrs.field(factory=set)
@@ -241,6 +256,10 @@
         watcher = asyncio.create_task(self._watch_disconnect(req))
         try:
             return await self._server.handler(req)
+        except (OSError, TimeoutError):
+            raise
+        except Exception as exc:
+            return self._server.handle_error(req, exc)
         finally:
             watcher.cancel()
             await asyncio.gather(watcher, return_exceptions=True)
--- a/packages/jujubebend/src/jujubebend/errors.py
+++ b/packages/jujubebend/src/jujubebend/errors.py
@@ -50,6 +50,14 @@
     """The request was never sent, so it cannot have taken effect."""
 
 
+class MalformedReplyError(UnreachableError):
+    """The peer's reply cannot be read; the request may have taken effect."""
+
+    def __init__(self, sender: str, found: str) -> None:
+        """Store who sent the reply and what is wrong with it."""
+        super().__init__(f'malformed reply from {sender}: {found}')
+
+
 class RefusedConnectionError(NotSentError):
     """The connection was refused: no process listens at the address."""
 
