--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -1,9 +1,9 @@
-"""``python -m benchmarks.policies``: the planner under an enlarged load.
+"""``python -m benchmarks.policies``: the planner under the load of a cluster.
 
-Simulates the planner alone in virtual time, with the job mix of the enlarged
-sites. The store and the network are modelled as delays only. The output is the
-share of the jobs' value that is earned, with all policies of the planner and
-with one of them disabled.
+Simulates the planner alone in virtual time, with one of the job mixes of
+``benchmarks.mixes``. The store and the network are modelled as delays only. The
+output is the share of the jobs' value that is earned, with all policies of the
+planner and with one of them disabled, and how long gangs wait by their size.
 """
 
 from __future__ import annotations
@@ -13,12 +13,14 @@
 import itertools
 import math
 import random
+import statistics
 from collections import abc
 from unittest import mock
 
 import attrs
 import typer
 
+from benchmarks import mixes
 from jujubebend_cluster import (
     adviceclient,
     fleet,
@@ -31,16 +33,16 @@
     progress,
 )
 
-SERVICE = 'svc'
 # Virtual time between two passes of the planner.
 PASS_INTERVAL_SECONDS = 0.02
 # Time to write a record and to send an order to a worker.
 START_DELAY_SECONDS = 0.03
-STOP_DELAY_SECONDS = 0.3
-# Hosts through which advice is requested.
-HOST_COUNT = 39
-WORKER_CAPACITY = jobspec.Demand(32_000, 65_536)
-WORKER_SPEEDS = (0.55, 1.2, 1.2, 1.2)
+# Time from the end of a job's last task until its caller learns of it, with the
+# time that the submission took.
+REPORT_DELAY_SECONDS = 0.15
+WORKER_CPU_MILLI = 32_000
+# Gangs are reported by size: the widest tenth, the fifth below, the others.
+SIZE_CLASSES = ((0.9, 'widest tenth'), (0.7, 'next fifth'), (0, 'others'))
 # Jobs arrive during this period; the simulation lasts twice as long.
 ARRIVAL_PERIOD_SECONDS = 34.0
 # Share of its value that a job earns if it ends late.
@@ -51,100 +53,20 @@
 cli = typer.Typer(add_completion=False)
 
 
-@attrs.frozen
-class JobKind:
-    """A kind of job: means and probabilities from the site data sheets.
-
-    ``mean_tasks`` and ``max_tasks`` count the tasks of a step, and
-    ``mean_seconds`` is the work of a task. ``approval_probability`` is the
-    probability that the advice service approves a worker.
-    """
-
-    queue: jobspec.Queue
-    arrivals_per_second: float
-    mean_value: float
-    mean_steps: float
-    mean_tasks: float
-    max_tasks: float
-    mean_cpu_milli: float
-    mean_memory_mb: float
-    mean_seconds: float
-    gang_probability: float
-    checkpoint_probability: float
-    approval_probability: float
-
-
-def _create_queue(
-    name: str, rank: int, slack: float, latency: float, advice: tuple
-) -> jobspec.Queue:
-    policy = jobspec.AdvicePolicy(*advice, 2.0)
-    return jobspec.Queue(
-        name, 'h', f'/{name}/', SERVICE, rank, 3, slack, latency, policy
-    )
-
-
-JOB_KINDS = (
-    JobKind(
-        queue=_create_queue('design', 1, 2.2, 1.0, (0.559, 0.008)),
-        arrivals_per_second=2.37,
-        mean_value=8.52,
-        mean_steps=1.2,
-        mean_tasks=16,
-        max_tasks=80,
-        mean_cpu_milli=9_000,
-        mean_memory_mb=9_000,
-        mean_seconds=6.2,
-        gang_probability=1,
-        checkpoint_probability=0.5,
-        approval_probability=0.35,
-    ),
-    JobKind(
-        queue=_create_queue('plan', 2, 4.0, 3.0, (0.156, 0.0023)),
-        arrivals_per_second=3.94,
-        mean_value=3.21,
-        mean_steps=1.5,
-        mean_tasks=25,
-        max_tasks=150,
-        mean_cpu_milli=3_500,
-        mean_memory_mb=6_400,
-        mean_seconds=3.4,
-        gang_probability=0,
-        checkpoint_probability=0.8,
-        approval_probability=0.45,
-    ),
-    JobKind(
-        queue=_create_queue('check', 0, 1.5, 0.3, (0.0143, 0.0002)),
-        arrivals_per_second=44.1,
-        mean_value=0.402,
-        mean_steps=1,
-        mean_tasks=3.2,
-        max_tasks=19,
-        mean_cpu_milli=5_000,
-        mean_memory_mb=7_100,
-        mean_seconds=1,
-        gang_probability=0.3,
-        checkpoint_probability=0,
-        approval_probability=0.7,
-    ),
-)
-
-
 @attrs.define(eq=False)
 class _Workload:
-    """Random jobs; ``factor`` multiplies the arrival rates."""
+    """Random jobs of a mix."""
 
     rng: random.Random
-    factor: float
+    kinds: tuple[mixes.JobKind, ...]
 
-    def draw_jobs(self) -> list[tuple[float, JobKind, jobspec.JobSpec]]:
+    def draw_jobs(self) -> list[tuple[float, mixes.JobKind, jobspec.JobSpec]]:
         """Return arrival time, kind and specification of each job, by time."""
         arrivals = []
-        for kind in JOB_KINDS:
+        for kind in self.kinds:
             arrives_at = float(0)
             while arrives_at < ARRIVAL_PERIOD_SECONDS:
-                arrives_at += self.rng.expovariate(
-                    kind.arrivals_per_second * self.factor
-                )
+                arrives_at += self.rng.expovariate(kind.arrivals_per_second)
                 arrivals.append((
                     arrives_at,
                     kind,
@@ -153,13 +75,15 @@
         arrivals.sort(key=lambda arrival: arrival[0])
         return arrivals
 
-    def _draw_job(self, kind: JobKind, arrives_at: float) -> jobspec.JobSpec:
+    def _draw_job(
+        self, kind: mixes.JobKind, arrives_at: float
+    ) -> jobspec.JobSpec:
         count = max(1, round(self._draw_lognormal(kind.mean_steps, 0.4, 3.8)))
         steps = tuple(self._draw_step(kind, number) for number in range(count))
         name = f'{self.rng.getrandbits(64):016x}'
         return jobspec.JobSpec(name, kind.queue.name, '', steps, arrives_at)
 
-    def _draw_step(self, kind: JobKind, number: int) -> jobspec.Step:
+    def _draw_step(self, kind: mixes.JobKind, number: int) -> jobspec.Step:
         return jobspec.Step(
             max(
                 1,
@@ -191,7 +115,7 @@
     """One simulation; ``_events`` is a heap of events by due time."""
 
     seed: int
-    factor: float
+    mix: mixes.Mix
     worker_fleet: fleet.Fleet = attrs.field(factory=fleet.Fleet)
     job_table: jobtable.JobTable = attrs.field(factory=jobtable.JobTable)
     advice_client: adviceclient.AdviceClient = attrs.field(
@@ -201,15 +125,18 @@
     _speeds: dict[str, float] = attrs.field(factory=dict)
     _remaining_work: dict[jobspec.TaskName, float] = attrs.field(factory=dict)
     _started_at: dict[jobspec.TaskName, float] = attrs.field(factory=dict)
-    _kinds: dict[str, JobKind] = attrs.field(factory=dict)
+    _kinds: dict[str, mixes.JobKind] = attrs.field(factory=dict)
     _events: list = attrs.field(factory=list)
     _sequence: abc.Iterator[int] = attrs.field(factory=itertools.count)
+    _ends_at: dict[jobspec.TaskName, float] = attrs.field(factory=dict)
     _ended_at: dict[str, float] = attrs.field(factory=dict)
+    _gang_waits: dict[int, float] = attrs.field(factory=dict)
 
-    def run(self, workers: int) -> dict[str, float]:
+    def run(self) -> dict[str, float]:
         """Simulate all jobs; return the share of value earned by each kind."""
-        self._create_workers(workers)
-        arrivals = _Workload(random.Random(self.seed), self.factor).draw_jobs()  # noqa: S311
+        self._create_workers()
+        rng = random.Random(self.seed)  # noqa: S311
+        arrivals = _Workload(rng, self.mix.kinds).draw_jobs()
         for arrives_at, kind, spec in arrivals:
             self._schedule(arrives_at, self._accept_job, kind, spec)
         end = ARRIVAL_PERIOD_SECONDS * 2
@@ -221,18 +148,51 @@
             self._plan_pass(now)
         return self._compute_value_shares(arrivals)
 
-    def _create_workers(self, count: int) -> None:
-        speeds = itertools.cycle(WORKER_SPEEDS)
-        for number in range(count):
+    def gang_waits(self) -> list[tuple[int, float]]:
+        """Return the size of each gang and its wait in seconds.
+
+        The wait of a gang that never started is infinite. Only kinds of which
+        every step is a gang are counted.
+        """
+        waits = []
+        for job in self.job_table.jobs.values():
+            kind = self._kinds[job.spec.job]
+            for group in job.groups.values():
+                if kind.gang_probability == 1 and group.ready_at is not None:
+                    wait = self._gang_waits.get(id(group), math.inf)
+                    waits.append((len(group.tasks), wait))
+        return waits
+
+    def on_time_shares(self) -> dict[str, float]:
+        """Return the share of gang jobs that end in time, by their widest step.
+
+        Only kinds of which every step is a gang are counted.
+        """
+        rows = []
+        for name, kind in self._kinds.items():
+            if kind.gang_probability == 1:
+                spec = self.job_table.jobs[name].spec
+                seconds = self._ended_at.get(name, math.inf) - spec.accepted_at
+                width = max(step.tasks for step in spec.steps)
+                rows.append((width, seconds <= kind.queue.objective(spec)))
+        shares = {'all': statistics.mean(row[1] for row in rows)}
+        for size_class, on_time in _split_by_size(rows).items():
+            shares[size_class] = statistics.mean(on_time)
+        return shares
+
+    def _create_workers(self) -> None:
+        capacity = jobspec.Demand(WORKER_CPU_MILLI, self.mix.memory_mb)
+        speeds = itertools.cycle(self.mix.speeds)
+        for number in range(self.mix.worker_count):
             name = f'w{number}'
             entry = interfaces.WorkerEntry(
                 name,
                 1,
-                SERVICE,
+                mixes.SERVICE,
                 '',
                 '',
                 interfaces.WorkerState.READY,
-                WORKER_CAPACITY,
+                capacity,
                 ('a',),
                 f'r{number // 12}',
             )
@@ -240,7 +200,7 @@
             worker.speed = next(speeds)
             self._speeds[name] = worker.speed
             self.worker_fleet.workers[name] = worker
-        for number in range(HOST_COUNT):
+        for number in range(self.mix.host_count):
             address = f'h{number}'
             self.advice_client.routes[address] = adviceclient.AdviceRoute(
                 address, None
@@ -254,7 +214,7 @@
         )
 
     def _accept_job(
-        self, now: float, kind: JobKind, spec: jobspec.JobSpec
+        self, now: float, kind: mixes.JobKind, spec: jobspec.JobSpec
     ) -> None:
         self._kinds[spec.job] = kind
         self.job_table.add(spec)
@@ -263,6 +223,7 @@
         requests = planner.sort_by_urgency(self._list_ready_groups(now), now)
         plan = planner.plan(requests, self.worker_fleet, now)
         for placed in plan.placements:
+            self._record_gang_wait(placed.task.group, now)
             self._start_task(placed, now)
         for request in plan.advice_requests:
             self._request_advice(request, now)
@@ -272,7 +233,10 @@
                 task.was_preempted = True
                 self.stop_count += 1
                 self._schedule(
-                    now + STOP_DELAY_SECONDS, self._on_stopped, task, task.run
+                    now + self.mix.stop_delay,
+                    self._on_stopped,
+                    task,
+                    task.run,
                 )
 
     def _list_ready_groups(
@@ -294,14 +258,27 @@
         work = self._remaining_work.get(task.name, task.group.step.estimate)
         self._started_at[task.name] = started_at
         due = started_at + work / self._speeds[worker.name]
+        self._ends_at[task.name] = due
         self._schedule(due, self._on_done, task, task.run)
 
+    def _record_gang_wait(self, group: jobtable.Group, now: float) -> None:
+        kind = self._kinds[group.job.spec.job]
+        if group.step.gang and kind.gang_probability == 1:
+            wait = now - group.ready_at
+            self._gang_waits.setdefault(id(group), wait)
+
     def _has_run_ended(self, task: jobtable.Task, run: int) -> bool:
         return task.run != run or task.state is not progress.TaskState.PLACED
 
     def _on_done(self, now: float, task: jobtable.Task, run: int) -> None:
         if self._has_run_ended(task, run):
             return
+        # The members of a gang end together, with the slowest.
+        group = task.group
+        if group.step.gang and now < max(
+            self._ends_at[member.name] for member in group.tasks
+        ):
+            return
         self._end_run(now, task, interfaces.RunOutcome.DONE)
 
     def _on_stopped(self, now: float, task: jobtable.Task, run: int) -> None:
@@ -325,7 +302,7 @@
             ended_worker.deallocate(ended_task)
         self.job_table.complete_if_done(job, now)
         if job.is_ended:
-            self._ended_at[job.spec.job] = now
+            self._ended_at[job.spec.job] = now + REPORT_DELAY_SECONDS
             self.job_table.live_jobs.pop(job.spec.job, None)
 
     def _request_advice(
@@ -335,28 +312,35 @@
         group = placement_request.group
         kind = self._kinds[group.job.spec.job]
         candidates = self.advice_client.select_candidates(
-            group, request.usable_workers, now, request.awaited_workers
+            group,
+            request.usable_workers,
+            now,
+            request.awaited_workers,
+            request.worker_count,
         )
         if not candidates:
             return
-        route = self.advice_client.choose_route(
+        calls = self.advice_client.plan_calls(
             placement_request.queue.advice,
-            len(candidates),
+            candidates,
             now,
             latency_tolerant=placement_request.is_latency_tolerant,
         )
-        if route is None:
-            return
-        group.tickets.is_request_pending = True
-        names = [worker.name for worker in candidates]
-        due = route.busy_until + START_DELAY_SECONDS
-        self._schedule(due, self._on_advice, group, names, kind)
+        for call in calls:
+            names = [worker.name for worker in call.workers]
+            group.tickets.pending_workers.update(names)
+            due = call.route.busy_until + START_DELAY_SECONDS
+            self._schedule(due, self._on_advice, group, names, kind)
 
     def _on_advice(
-        self, now: float, group: jobtable.Group, names: list[str], kind: JobKind
+        self,
+        now: float,
+        group: jobtable.Group,
+        names: list[str],
+        kind: mixes.JobKind,
     ) -> None:
         tickets = group.tickets
-        tickets.is_request_pending = False
+        tickets.pending_workers.difference_update(names)
         tickets.queried_workers.update(names)
         valid_until = (
             now + kind.queue.advice.validity_s - adviceclient.TICKET_MARGIN_S
@@ -367,7 +351,7 @@
                 tickets.approvals[name] = ('t', valid_until)
 
     def _compute_value_shares(self, arrivals: list) -> dict[str, float]:
-        earned = dict.fromkeys((kind.queue.name for kind in JOB_KINDS), 0)
+        earned = dict.fromkeys((kind.queue.name for kind in self.mix.kinds), 0)
         offered = dict(earned)
         mean_work = _compute_mean_work(arrivals)
         for arrives_at, kind, spec in arrivals:
@@ -405,7 +389,7 @@
 VARIANTS = {
     'as it is': (),
     'nothing gives way': ((preemption, 'PREEMPTION_DELAY_S', math.inf),),
-    'nothing reserved': ((preemption, 'MAX_RESERVATIONS', 0),),
+    'nothing reserved': ((preemption, 'MAX_RESERVED_SHARE', 0),),
     'few known workers': ((planner, 'APPROVED_CAPACITY_FACTOR', 0),),
     'fast workers not kept': ((placement, 'RESERVED_FAST_SHARE', 0),),
 }
@@ -413,30 +397,70 @@
 
 @cli.command()
 def main(
-    seeds: int = 2, factor: float = 1.0, workers: int = 176, only: str = ''
+    seeds: int = 2, mix: str = 'large', load: float = 1, only: str = ''
 ) -> None:
-    """Print the share of the value earned, by variant and kind of job."""
+    """Print the value earned and the waits of gangs, by variant.
+
+    ``load`` multiplies the arrival rates of the ``mix``.
+    """
     for name, changes in VARIANTS.items():
         if only and name != only:
             continue
-        run_shares = []
-        stop_count = 0
+        simulations = []
         with contextlib.ExitStack() as stack:
             for module, attribute, replacement in changes:
                 stack.enter_context(
                     mock.patch.object(module, attribute, replacement)
                 )
+            run_shares = []
             for seed in range(seeds):
-                simulation = Simulation(seed, factor)
-                run_shares.append(simulation.run(workers))
-                stop_count += simulation.stop_count
-        means = {
-            key: round(
-                sum(shares[key] for shares in run_shares) / len(run_shares), 3
-            )
-            for key in run_shares[0]
-        }
-        typer.echo(f'{name:24} {means} stops {stop_count}')
+                simulation = Simulation(seed, mixes.MIXES[mix].load(load))
+                run_shares.append(simulation.run())
+                simulations.append(simulation)
+        _print_variant(name, run_shares, simulations)
+
+
+def _print_variant(
+    name: str,
+    run_shares: list[dict[str, float]],
+    simulations: list[Simulation],
+) -> None:
+    means = {
+        key: round(statistics.mean(shares[key] for shares in run_shares), 3)
+        for key in run_shares[0]
+    }
+    stop_count = sum(simulation.stop_count for simulation in simulations)
+    typer.echo(f'{name:24} {means} stops {stop_count}')
+    waits = list(
+        itertools.chain.from_iterable(
+            simulation.gang_waits() for simulation in simulations
+        )
+    )
+    for size_class, seconds in _split_by_size(waits).items():
+        started = sorted(wait for wait in seconds if math.isfinite(wait))
+        percentiles = [
+            round(started[int(quantile * (len(started) - 1))], 2)
+            for quantile in (0.5, 0.95, 1)
+            if started
+        ]
+        typer.echo(
+            f'    {size_class:14} {len(started)} of {len(seconds)} gangs'
+            f' started, after {percentiles} s (p50, p95, longest)'
+        )
+
+
+def _split_by_size(
+    rows: list[tuple[int, float]],
+) -> dict[str, list[float]]:
+    """Return the second column of rows by the class of size of the first."""
+    ordered = sorted(rows)
+    by_class = {}
+    upper = len(ordered)
+    for quantile, size_class in SIZE_CLASSES:
+        lower = round(quantile * len(ordered))
+        by_class[size_class] = [figure for _, figure in ordered[lower:upper]]
+        upper = lower
+    return by_class
 
 
 if __name__ == '__main__':
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/adviceclient.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/adviceclient.py
@@ -7,16 +7,21 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import abc
 
 import attrs
+from boltons import iterutils
 
 from jujubebend import errors
 from jujubebend_cluster import clock, fleet, jobspec, jobtable, logs, metrics
 
-# Workers named in one call. The objective of a job includes one call on 30.
-MAX_WORKERS_PER_CALL = 30
+# Workers named in one call, if there are hosts enough to spread the calls over.
+# The objective of a job includes one call on 30.
+USUAL_WORKERS_PER_CALL = 30
+# Most workers that the advice service accepts in one call.
+MAX_WORKERS_PER_CALL = 100
 # Seconds before a ticket expires from which it is not used: the write of the
 # placement and the start must fit into them.
 TICKET_MARGIN_S = 0.2
@@ -51,6 +56,14 @@
     unavailable_until: float = 0
 
 
+@attrs.frozen
+class AdviceCall:
+    """A call for advice on ``workers`` that goes through ``route``."""
+
+    route: AdviceRoute
+    workers: abc.Sequence[fleet.Worker]
+
+
 @attrs.define(eq=False)
 class AdviceClient:
     """Requests advice for groups and stores the returned tickets."""
@@ -58,20 +71,45 @@
     routes: dict[str, AdviceRoute] = attrs.field(factory=dict)
     metrics: metrics.Metrics = attrs.field(factory=metrics.Metrics)
 
-    def choose_route(
+    def plan_calls(
         self,
         policy: jobspec.AdvicePolicy,
-        worker_count: int,
+        workers: abc.Sequence[fleet.Worker],
         now: float,
         *,
         latency_tolerant: bool = False,
-    ) -> AdviceRoute | None:
-        """Return the route that is free first, None if all are too busy.
-
-        The expected duration of a call on ``worker_count`` workers is added to
-        the route's backlog. Calls for latency-tolerant queues take long, so
-        some routes are kept free of them.
+    ) -> list[AdviceCall]:
+        """Spread a request about ``workers`` over the routes that are free.
+
+        The first call goes through the route that is free first, further ones
+        only through idle routes. There is no call if all routes are too busy.
+        Workers that do not fit into the calls are left out. The expected
+        duration of each call is added to its route's backlog. Calls for
+        latency-tolerant queues take long, so some routes are kept free of them.
         """
+        routes = self._choose_routes(
+            math.ceil(len(workers) / USUAL_WORKERS_PER_CALL),
+            now,
+            latency_tolerant=latency_tolerant,
+        )
+        if not routes:
+            return []
+        size = min(MAX_WORKERS_PER_CALL, math.ceil(len(workers) / len(routes)))
+        calls = [
+            AdviceCall(route, list(batch))
+            for route, batch in zip(
+                routes, iterutils.chunked_iter(workers, size), strict=False
+            )
+        ]
+        for call in calls:
+            route = call.route
+            duration = policy.call_duration(len(call.workers))
+            route.busy_until = max(now, route.busy_until) + duration
+        return calls
+
+    def _choose_routes(
+        self, count: int, now: float, *, latency_tolerant: bool
+    ) -> list[AdviceRoute]:
         available = [
             route
             for route in self.routes.values()
@@ -79,33 +117,31 @@
         ]
         if latency_tolerant:
             available = available[round(URGENT_SHARE * len(available)) :]
-        if not available:
-            return None
-        best = min(
-            available, key=lambda route: (route.busy_until, random.random())
-        )
-        if best.busy_until - now > MAX_BACKLOG_S:
-            return None
-        duration = policy.base_cost_s + policy.cost_per_worker_s * worker_count
-        best.busy_until = max(now, best.busy_until) + duration
-        return best
+        random.shuffle(available)
+        available.sort(key=lambda route: max(now, route.busy_until))
+        return [
+            route
+            for position, route in enumerate(available[:count])
+            if route.busy_until <= now
+            or (position == 0 and route.busy_until - now <= MAX_BACKLOG_S)
+        ]
 
     async def request_tickets(
         self,
         group: jobtable.Group,
         policy: jobspec.AdvicePolicy,
-        workers: abc.Sequence[fleet.Worker],
-        route: AdviceRoute,
+        call: AdviceCall,
     ) -> None:
-        """Request advice on which of ``workers`` may run the group's step.
+        """Request advice on which of the call's workers may run the step.
 
         The tickets are stored in the group. A failed call is logged, and the
         route is not used for a while.
         """
-        names = [worker.name for worker in workers]
+        route = call.route
+        names = [worker.name for worker in call.workers]
         tickets = group.tickets
         sent_at = clock.now()
-        duration = policy.base_cost_s + policy.cost_per_worker_s * len(names)
+        duration = policy.call_duration(len(names))
         timeout = max(0, route.busy_until - sent_at) + duration + CALL_SLACK_S
         try:
             approved_tickets = await route.request_advice(
@@ -123,7 +159,7 @@
             )
             return
         finally:
-            tickets.is_request_pending = False
+            tickets.pending_workers.difference_update(names)
         now = clock.now()
         self.metrics.count('advice_calls', outcome='answered')
         self.metrics.observe('advice', now - sent_at)
@@ -147,8 +183,9 @@
         usable: abc.Sequence[fleet.Worker],
         now: float,
         awaited: abc.Set[str],
+        limit: int = USUAL_WORKERS_PER_CALL,
     ) -> list[fleet.Worker]:
-        """Return the workers to request advice on, at most one call's worth.
+        """Return the workers to request advice on, at most ``limit``.
 
         Workers that the group waits for, by name in ``awaited``, come first,
         then those with the most free CPU. Workers that advice has refused
@@ -172,4 +209,4 @@
         candidates.sort(
             key=lambda worker: (worker.name not in awaited, worker.used_cpu)
         )
-        return candidates[:MAX_WORKERS_PER_CALL]
+        return candidates[:limit]
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
@@ -40,7 +40,8 @@
     """One incarnation of a worker.
 
     ``used_cpu`` does not include fillers: ``filler_cpu`` is what they would
-    use at full pace. They run at ``pace`` percent, which was last changed at
+    use at full pace. ``sensitive_cpu`` is the part of ``used_cpu`` that
+    latency-sensitive tasks use. Fillers run at ``pace`` percent, which was last changed at
     ``pace_changed_at``; ``is_pace_pending`` is set while a new pace is being
     sent. ``speed`` is relative to the declared work.
 
@@ -61,6 +62,7 @@
     used_memory_mb: int = 0
     used_accelerators: int = 0
     filler_cpu: int = 0
+    sensitive_cpu: int = 0
     tasks: dict[jobspec.TaskName, jobtable.Task] = attrs.field(factory=dict)
     token: int = 0
     clock: float = 0
@@ -208,6 +210,8 @@
 
     def _add_demand(self, task: jobtable.Task, sign: int) -> None:
         demand = task.group.step.demand
+        if task.is_latency_sensitive:
+            self.sensitive_cpu += sign * demand.cpu_milli
         if task.group.step.filler:
             self.filler_cpu += sign * demand.cpu_milli
         else:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/jobspec.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/jobspec.py
@@ -101,6 +101,10 @@
     cost_per_worker_s: float
     validity_s: float
 
+    def call_duration(self, worker_count: int) -> float:
+        """Return how long a call on that many workers takes, in seconds."""
+        return self.base_cost_s + self.cost_per_worker_s * worker_count
+
 
 @attrs.frozen
 class Queue:
@@ -121,10 +125,7 @@
         seconds = spec.critical_path()
         if self.advice is not None:
             step_count = len(spec.steps)
-            seconds += step_count * (
-                self.advice.base_cost_s
-                + ADVISED_WORKERS * self.advice.cost_per_worker_s
-            )
+            seconds += step_count * self.advice.call_duration(ADVISED_WORKERS)
         return seconds * self.slack_factor + self.latency_target
 
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/jobtable.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/jobtable.py
@@ -11,6 +11,11 @@
 
 from jujubebend_cluster import interfaces, jobspec, progress
 
+# Share of the workers that advice approves for a step of which nothing is known
+# yet, and the number of workers queried that counts as much as this guess.
+USUAL_APPROVAL_RATE = 1 / 3
+USUAL_QUERIES = 30
+
 
 @attrs.define(eq=False)
 class Task:
@@ -28,7 +33,8 @@
     ``acknowledged_pace`` is the pace in percent that the worker last accepted
     for a filler, None if not known. ``progressed_at`` is when ``percent`` last
     changed. ``rank`` is the rank of the queue when the run was placed. A task
-    that ``was_preempted`` is not preempted again.
+    that ``was_preempted`` is not preempted again. One that
+    ``is_latency_sensitive`` is of a queue that does not tolerate slow workers.
     """
 
     name: jobspec.TaskName
@@ -50,6 +56,7 @@
     acknowledged_pace: int | None = None
     rank: int = 0
     was_preempted: bool = False
+    is_latency_sensitive: bool = False
     failed_on: set[str] = attrs.field(factory=set)
 
     def is_current_run(self, run: int) -> bool:
@@ -61,17 +68,30 @@
 class Tickets:
     """Advice on a group's step: which workers may run it, and the tickets.
 
-    ``queried_workers`` are the workers that advice was requested for.
+    ``queried_workers`` are the workers that advice was given on, and
+    ``pending_workers`` those that a request without an answer names.
     ``approvals`` maps each approved worker to its ticket and the time at which
     the ticket expires. The approval itself never changes.
     """
 
     approvals: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     queried_workers: set[str] = attrs.field(factory=set)
-    is_request_pending: bool = False
+    pending_workers: set[str] = attrs.field(factory=set)
+
+    @property
+    def approval_rate(self) -> float:
+        """Return the expected share of workers that advice approves.
+
+        It is the share of the workers queried so far, drawn towards a usual
+        share while these are few.
+        """
+        approved = len(self.approvals) + USUAL_APPROVAL_RATE * USUAL_QUERIES
+        return approved / (len(self.queried_workers) + USUAL_QUERIES)
 
     def is_advice_useful(self, worker: str, now: float) -> bool:
         """Return whether advice on the worker could yield a new ticket."""
+        if worker in self.pending_workers:
+            return False
         is_refused = (
             worker in self.queried_workers and worker not in self.approvals
         )
@@ -181,9 +201,9 @@
         if known_job is not None:
             return known_job
         job = Job(spec)
-        self.jobs[spec.job] = job
         if record is not None:
             _restore_job(job, record)
+        self.jobs[spec.job] = job
         if not job.is_ended:
             self.live_jobs[spec.job] = job
             if not spec.occurrences:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/placement.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/placement.py
@@ -17,9 +17,9 @@
 # they take about 1.5 times the estimated work.
 LATENCY_TOLERANT_SLACK = 2.0
 # A worker counts as fast from this multiple of its service's mean speed.
-FAST_FACTOR = 1.15
+FAST_FACTOR = 1.05
 # Share of a fast worker's CPU that is kept free of latency-tolerant work.
-RESERVED_FAST_SHARE = 0.1
+RESERVED_FAST_SHARE = 0.25
 
 
 @attrs.frozen
@@ -39,6 +39,14 @@
         """Return the group's step."""
         return self.group.step
 
+    @property
+    def is_preemptible(self) -> bool:
+        """Return whether tasks of the group can be stopped at little loss."""
+        step = self.step
+        return step.checkpoints and not (
+            step.gang or step.lasting or step.filler
+        )
+
     @property
     def is_latency_tolerant(self) -> bool:
         """Return whether the queue's objective leaves time for slow workers."""
@@ -55,30 +63,56 @@
     rank: int = 0
 
 
+@attrs.frozen
+class WorkerReservation:
+    """A worker's reservation for a gang of ``rank`` that waits for capacity.
+
+    Work of a lower rank may not use the worker. An ``is_exclusive``
+    reservation is that of a gang that starts as soon as the capacity on its
+    workers is released: no other work of its rank may use them either.
+    """
+
+    group: jobtable.Group
+    rank: int
+    is_exclusive: bool
+
+    def admits(self, request: PlacementRequest) -> bool:
+        """Return whether a group may use the worker all the same."""
+        if request.group is self.group or request.queue.rank < self.rank:
+            return True
+        if self.is_exclusive:
+            return False
+        return request.queue.rank == self.rank or request.is_preemptible
+
+
 @attrs.define(eq=False)
 class Placer:
     """Places groups on the workers of one service during a planning pass.
 
-    ``reserved_ranks`` maps the name of a reserved worker to the rank of the
-    gang that reserved it: work of a lower rank may not use the worker.
+    ``reservations`` maps the name of a reserved worker to the reservation.
     Independent tasks are not placed beyond ``max_placements`` in the pass.
     Starts reach their workers ``start_delay`` seconds later.
     """
 
     workers: abc.Sequence[fleet.Worker]
     now: float
-    reserved_ranks: dict[str, int] = attrs.field(factory=dict)
+    reservations: dict[str, WorkerReservation] = attrs.field(factory=dict)
     placements: list[Placement] = attrs.field(factory=list)
     max_placements: float = math.inf
     start_delay: float = 0
-    _fast_speed: float = attrs.field(init=False)
+    mean_cpu_milli: float = attrs.field(init=False)
+    _mean_speed: float = attrs.field(init=False)
     _by_name: dict[str, fleet.Worker] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Index the workers and compute the speed of a fast worker."""
+        """Index the workers and compute their mean capacity and speed."""
         self._by_name = {worker.name: worker for worker in self.workers}
-        total = sum(worker.speed for worker in self.workers)
-        self._fast_speed = FAST_FACTOR * total / max(1, len(self.workers))
+        count = max(1, len(self.workers))
+        self._mean_speed = sum(worker.speed for worker in self.workers) / count
+        self.mean_cpu_milli = (
+            sum(worker.entry.capacity.cpu_milli for worker in self.workers)
+            / count
+        )
 
     @property
     def arrival(self) -> float:
@@ -86,15 +120,21 @@
         return self.now + self.start_delay
 
     def eligible_workers(
-        self, request: PlacementRequest
+        self,
+        request: PlacementRequest,
+        excluded: abc.Collection[str] = (),
     ) -> abc.Sequence[fleet.Worker]:
-        """Return the workers that the group's label and rank allow."""
-        if not self.reserved_ranks and not request.step.required_label:
+        """Return the workers that the group's label and rank allow.
+
+        Those with a name in ``excluded`` are left out.
+        """
+        if not (self.reservations or request.step.required_label or excluded):
             return self.workers
         return [
             worker
             for worker in self.workers
-            if self._is_eligible(request, worker)
+            if worker.name not in excluded
+            and self._is_eligible(request, worker)
         ]
 
     def ticketed_workers(
@@ -139,10 +179,10 @@
         release.
         """
         reserved_cpu = 0
-        if worker.speed >= self._fast_speed and request.is_latency_tolerant:
-            reserved_cpu = round(
-                RESERVED_FAST_SHARE * worker.entry.capacity.cpu_milli
-            )
+        is_fast = worker.speed >= FAST_FACTOR * self._mean_speed
+        if is_fast and request.is_latency_tolerant:
+            share = round(RESERVED_FAST_SHARE * worker.entry.capacity.cpu_milli)
+            reserved_cpu = max(0, share - worker.sensitive_cpu)
         step = request.step
         count = worker.count_fitting(
             step.demand,
@@ -198,12 +238,42 @@
     ) -> list[fleet.Worker] | None:
         """Return a worker for each task of a gang, None if not all fit."""
         task_count = len(request.group.tasks)
-        for members in partition_by_rack(request, allowed):
-            chosen = self._fill_workers(request, members, task_count)
+        counts = {
+            worker.name: self.count_fitting(request, worker, task_count)
+            for worker in allowed
+        }
+        if sum(counts.values()) < task_count:
+            return None
+        fitting = [worker for worker in allowed if counts[worker.name]]
+        for members in self.partition(request, fitting):
+            chosen = _fill_workers(members, counts, task_count)
             if chosen is not None:
                 return chosen
         return None
 
+    def partition(
+        self, request: PlacementRequest, workers: abc.Sequence[fleet.Worker]
+    ) -> abc.Iterator[abc.Sequence[fleet.Worker]]:
+        """Yield the sets of workers that may hold all tasks, the best first.
+
+        A step that must stay in one rack has its own sets for each rack. The
+        members of a gang end together, with the slowest, and hold the faster
+        workers until then. So a gang goes to workers that are all faster or
+        all slower than the mean, and only if it fits on neither to both. The
+        slower ones come first if its queue tolerates them.
+        """
+        racks = partition_by_rack(request, workers)
+        if request.step.gang:
+            prefers_fast = not request.is_latency_tolerant
+            for is_fast in (prefers_fast, not prefers_fast):
+                for members in racks:
+                    yield [
+                        worker
+                        for worker in members
+                        if (worker.speed > self._mean_speed) == is_fast
+                    ]
+        yield from racks
+
     def assign_task(
         self,
         request: PlacementRequest,
@@ -212,6 +282,7 @@
     ) -> None:
         """Place a task on a worker and allocate the worker's capacity."""
         ticket = request.group.tickets.valid_ticket(worker.name, self.now) or ''
+        task.is_latency_sensitive = not request.is_latency_tolerant
         worker.allocate(task)
         self.placements.append(
             Placement(task, worker, ticket, request.queue.rank)
@@ -232,11 +303,9 @@
     def _is_eligible(
         self, request: PlacementRequest, worker: fleet.Worker
     ) -> bool:
-        rank = request.queue.rank
-        reserved_rank = self.reserved_ranks.get(worker.name, rank)
-        return reserved_rank >= rank and worker.has_label(
-            request.step.required_label
-        )
+        reservation = self.reservations.get(worker.name)
+        is_admitted = reservation is None or reservation.admits(request)
+        return is_admitted and worker.has_label(request.step.required_label)
 
     def _place_retry(
         self,
@@ -265,27 +334,6 @@
         self.assign_task(request, task, chosen)
         return True
 
-    def _fill_workers(
-        self,
-        request: PlacementRequest,
-        workers: abc.Sequence[fleet.Worker],
-        task_count: int,
-    ) -> list[fleet.Worker] | None:
-        chosen: list[fleet.Worker] = []
-        ranked = sorted(
-            workers,
-            key=lambda worker: (worker.speed, worker.used_cpu),
-            reverse=not request.is_latency_tolerant,
-        )
-        for worker in ranked:
-            count = self.count_fitting(
-                request, worker, task_count - len(chosen)
-            )
-            chosen.extend(itertools.repeat(worker, count))
-            if len(chosen) >= task_count:
-                return chosen
-        return None
-
     def _count_group_tasks(
         self, group: jobtable.Group, worker: fleet.Worker
     ) -> int:
@@ -302,7 +350,7 @@
 
 def partition_by_rack(
     request: PlacementRequest, workers: abc.Sequence[fleet.Worker]
-) -> abc.Iterable[abc.Sequence[fleet.Worker]]:
+) -> list[abc.Sequence[fleet.Worker]]:
     """Return the sets of workers, one of which must hold all tasks.
 
     A step that must stay in one rack has a set for each rack, any other step
@@ -313,7 +361,27 @@
     by_rack: dict[str, list[fleet.Worker]] = {}
     for worker in workers:
         by_rack.setdefault(worker.entry.rack, []).append(worker)
-    return by_rack.values()
+    return list(by_rack.values())
+
+
+def _fill_workers(
+    workers: abc.Sequence[fleet.Worker],
+    counts: abc.Mapping[str, int],
+    task_count: int,
+) -> list[fleet.Worker] | None:
+    """Return a worker for each task, the most used first; None if too few.
+
+    ``counts`` maps the name of each worker to how many tasks fit on it.
+    """
+    chosen: list[fleet.Worker] = []
+    for worker in sorted(
+        workers, key=lambda worker: worker.used_cpu, reverse=True
+    ):
+        count = min(counts[worker.name], task_count - len(chosen))
+        chosen.extend(itertools.repeat(worker, count))
+        if len(chosen) >= task_count:
+            return chosen
+    return None
 
 
 def _placement_cost(
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -15,13 +15,20 @@
 
 import attrs
 
-from jujubebend_cluster import fleet, jobspec, jobtable, placement, preemption
+from jujubebend_cluster import (
+    adviceclient,
+    fleet,
+    jobspec,
+    jobtable,
+    placement,
+    preemption,
+)
 
 # A job that is later than this multiple of its objective earns nothing.
 LATE_FACTOR = 3.0
 # A gang has enough approved workers once they could run this multiple of its
 # tasks.
-APPROVED_CAPACITY_FACTOR = 4.0
+APPROVED_CAPACITY_FACTOR = 8.0
 # Groups of one queue that a pass tries to place without success before it
 # skips the rest of that queue.
 MAX_BLOCKED_GROUPS = 20
@@ -31,12 +38,14 @@
 class AdviceRequest:
     """A group that needs advice on the workers of its service.
 
-    ``awaited_workers`` are the names of the workers reserved for the group.
+    ``awaited_workers`` are the names of the workers reserved for the group, and
+    ``worker_count`` is how many workers to ask about at the most.
     """
 
     placement_request: placement.PlacementRequest
     usable_workers: abc.Sequence[fleet.Worker]
     awaited_workers: frozenset[str]
+    worker_count: int
 
 
 @attrs.define(eq=False)
@@ -54,7 +63,6 @@
 
     plan: Plan
     placer: placement.Placer
-    reservation_count: int = 0
     _blocked_counts: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
@@ -104,13 +112,10 @@
         """Reserve workers, preempt lower-ranked tasks and request advice."""
         approved = self.placer.approved_workers(request)
         awaited_workers = frozenset()
-        if self.reservation_count < preemption.MAX_RESERVATIONS:
+        if preemption.may_reserve(self.placer):
             reservation = preemption.reserve_workers(
                 self.placer, request, approved
             )
-            self.reservation_count += bool(
-                reservation.workers and request.step.gang
-            )
             self.plan.preempted.extend(reservation.preempted)
             if reservation.count >= request.group.waiting_count:
                 awaited_workers = frozenset(
@@ -118,67 +123,82 @@
                 )
         if request.queue.advice is None:
             return
-        if self._needs_advice(request, approved, awaited_workers):
+        count = self._count_workers_to_query(request, approved, awaited_workers)
+        if count:
             advice_request = AdviceRequest(
-                request, self.placer.workers, awaited_workers
+                request, self.placer.workers, awaited_workers, count
             )
             self.plan.advice_requests.append(advice_request)
 
-    def _needs_advice(
+    def _count_workers_to_query(
         self,
         request: placement.PlacementRequest,
         approved: abc.Sequence[fleet.Worker],
         awaited_workers: frozenset[str],
-    ) -> bool:
-        """Return whether advice could let more of the group start."""
+    ) -> int:
+        """Return on how many workers to request advice now, zero for none."""
         tickets = request.group.tickets
-        if tickets.is_request_pending:
-            return False
-        if not tickets.queried_workers:
-            return True
-        unqueried = [
-            worker
-            for worker in self.placer.eligible_workers(request)
-            if worker.name not in tickets.queried_workers
-        ]
         if request.step.gang:
-            return self._gang_needs_advice(
-                request, unqueried, approved, awaited_workers
+            return self._count_workers_to_query_for_gang(
+                request, approved, awaited_workers
             )
+        if tickets.pending_workers:
+            return 0
+        usual_count = adviceclient.USUAL_WORKERS_PER_CALL
+        if not tickets.queried_workers:
+            return usual_count
+        unqueried = self._unqueried_workers(request)
         expired = [
             worker
             for worker in approved
             if tickets.valid_ticket(worker.name, self.placer.arrival) is None
         ]
-        return any(
-            worker.fits(request.step.demand) for worker in unqueried + expired
+        fits_more = any(
+            worker.fits(request.step.demand)
+            for worker in (*unqueried, *expired)
         )
+        return usual_count if fits_more else 0
 
-    def _gang_needs_advice(
+    def _unqueried_workers(
+        self, request: placement.PlacementRequest
+    ) -> abc.Sequence[fleet.Worker]:
+        tickets = request.group.tickets
+        return self.placer.eligible_workers(
+            request, tickets.queried_workers | tickets.pending_workers
+        )
+
+    def _count_workers_to_query_for_gang(
         self,
         request: placement.PlacementRequest,
-        unqueried: list[fleet.Worker],
         approved: abc.Sequence[fleet.Worker],
         awaited_workers: frozenset[str],
-    ) -> bool:
-        if unqueried and not _has_enough_approved(request, approved):
-            return True
+    ) -> int:
+        tickets = request.group.tickets
+        usual_count = adviceclient.USUAL_WORKERS_PER_CALL
+        unqueried = self._unqueried_workers(request)
         # Tickets expire while the gang waits for capacity. They are renewed
         # only once the capacity is there or is about to be.
-        tickets = request.group.tickets
-        has_expired = any(
-            tickets.valid_ticket(name, self.placer.arrival) is None
+        expired_count = sum(
+            tickets.is_advice_useful(name, self.placer.arrival)
             for name in awaited_workers
         )
-        if awaited_workers and has_expired:
-            return True
+        missing = _count_missing_approvals(
+            request, approved, self.placer.mean_cpu_milli
+        )
+        if unqueried and missing:
+            new_count = math.ceil(missing / tickets.approval_rate)
+            return max(usual_count, expired_count + new_count)
+        if expired_count:
+            return max(usual_count, expired_count)
+        if tickets.pending_workers:
+            return 0
         fitting = [
             worker for worker in unqueried if worker.fits(request.step.demand)
         ]
-        return (
-            self.placer.choose_gang_workers(request, [*approved, *fitting])
-            is not None
+        gang_fits = self.placer.choose_gang_workers(
+            request, [*approved, *fitting]
         )
+        return 0 if gang_fits is None else usual_count
 
 
 def urgency_key(
@@ -251,12 +271,21 @@
     return new_plan
 
 
-def _has_enough_approved(
-    request: placement.PlacementRequest, approved: abc.Sequence[fleet.Worker]
-) -> bool:
-    """Return whether the approved workers leave a gang enough choice."""
+def _count_missing_approvals(
+    request: placement.PlacementRequest,
+    approved: abc.Sequence[fleet.Worker],
+    mean_cpu_milli: float,
+) -> int:
+    """Return how many more approved workers would leave a gang enough choice.
+
+    The approvals expected of pending requests are counted too. Workers that
+    have not been approved yet are taken to have ``mean_cpu_milli``.
+    """
+    tickets = request.group.tickets
     cpu_per_task = max(1, request.step.demand.cpu_milli)
-    task_capacity = sum(
+    missing_tasks = APPROVED_CAPACITY_FACTOR * len(request.group.tasks) - sum(
         worker.entry.capacity.cpu_milli // cpu_per_task for worker in approved
     )
-    return task_capacity >= APPROVED_CAPACITY_FACTOR * len(request.group.tasks)
+    tasks_per_worker = max(1, mean_cpu_milli // cpu_per_task)
+    expected = tickets.approval_rate * len(tickets.pending_workers)
+    return max(0, math.ceil(missing_tasks / tasks_per_worker - expected))
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/preemption.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/preemption.py
@@ -13,8 +13,8 @@
 
 from jujubebend_cluster import fleet, jobspec, jobtable, placement, progress
 
-# Gangs of one service that may hold reservations at the same time.
-MAX_RESERVATIONS = 2
+# Share of a service's workers from which no gang reserves further ones.
+MAX_RESERVED_SHARE = 0.1
 # Seconds that a group waits for capacity before it preempts other tasks.
 PREEMPTION_DELAY_S = 0.25
 
@@ -41,6 +41,12 @@
     victims: list[jobtable.Task]
 
 
+def may_reserve(placer: placement.Placer) -> bool:
+    """Return whether further workers may be reserved in this pass."""
+    limit = MAX_RESERVED_SHARE * len(placer.workers)
+    return len(placer.reservations) < limit
+
+
 def reserve_workers(
     placer: placement.Placer,
     request: placement.PlacementRequest,
@@ -51,15 +57,27 @@
     For a gang, these are reserved in ``placer``, and nothing is preempted
     unless all its tasks would then fit.
     """
-    choices = [
-        _choose_workers(placer, request, members)
-        for members in placement.partition_by_rack(request, approved)
-    ]
-    best = max(choices, key=lambda choice: choice.count, default=Reservation())
+    offers = _make_offers(placer, request, approved)
+    best = Reservation()
+    for members in placer.partition(request, approved):
+        reservation = _choose_workers(placer, request, members, offers)
+        if reservation.count > best.count or not best.workers:
+            best = reservation
+        if best.count >= request.group.waiting_count:
+            break
     if request.step.gang:
+        is_starting = (
+            best.count >= request.group.waiting_count
+            and _has_valid_tickets(placer, request, best)
+        )
         for worker in best.workers:
-            placer.reserved_ranks[worker.name] = request.queue.rank
-        if best.count < request.group.waiting_count:
+            placer.reservations.setdefault(
+                worker.name,
+                placement.WorkerReservation(
+                    request.group, request.queue.rank, is_starting
+                ),
+            )
+        if not is_starting:
             best.preempted.clear()
     ready_at = request.group.ready_at
     if (
@@ -71,10 +89,39 @@
     return best
 
 
+def _has_valid_tickets(
+    placer: placement.Placer,
+    request: placement.PlacementRequest,
+    reservation: Reservation,
+) -> bool:
+    """Return whether a gang may start on all its workers once they are free.
+
+    Otherwise what is stopped for it would leave them idle until advice comes.
+    """
+    tickets = request.group.tickets
+    return request.queue.advice is None or all(
+        tickets.valid_ticket(worker.name, placer.arrival)
+        for worker in reservation.workers
+    )
+
+
+def _make_offers(
+    placer: placement.Placer,
+    request: placement.PlacementRequest,
+    workers: abc.Sequence[fleet.Worker],
+) -> dict[str, _Offer]:
+    task_count = request.group.waiting_count
+    return {
+        worker.name: _make_offer(placer, request, worker, task_count)
+        for worker in workers
+    }
+
+
 def _choose_workers(
     placer: placement.Placer,
     request: placement.PlacementRequest,
     workers: abc.Sequence[fleet.Worker],
+    offer_by_worker: dict[str, _Offer],
 ) -> Reservation:
     """Choose the workers with the fewest preemptions.
 
@@ -83,15 +130,15 @@
     """
     reservation = Reservation()
     task_count = request.group.waiting_count
-    offers = [
-        _make_offer(placer, request, worker, task_count) for worker in workers
-    ]
+    offers = [offer_by_worker[worker.name] for worker in workers]
     offers.sort(key=lambda offer: (len(offer.victims), -offer.count))
     for full_offer in offers:
         needed = min(full_offer.count, task_count - reservation.count)
         if not needed:
             continue
-        offer = _make_offer(placer, request, full_offer.worker, needed)
+        offer = full_offer
+        if needed < offer.count:
+            offer = _make_offer(placer, request, offer.worker, needed)
         reservation.workers.append(offer.worker)
         reservation.preempted.extend(offer.victims)
         reservation.count += offer.count
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
@@ -12,7 +12,6 @@
     adviceclient,
     clock,
     dispatcher,
-    fleet,
     jobspec,
     jobtable,
     leaderstate,
@@ -116,33 +115,32 @@
             advice_request.usable_workers,
             now + self.dispatcher.start_limit.delay,
             advice_request.awaited_workers,
+            advice_request.worker_count,
         )
         if not candidates:
             return
         policy = request.queue.advice
-        route = client.choose_route(
+        calls = client.plan_calls(
             policy,
-            len(candidates),
+            candidates,
             now,
             latency_tolerant=request.is_latency_tolerant,
         )
-        if route is None:
-            return
-        request.group.tickets.is_request_pending = True
-        self.leader.spawn(
-            self._request_tickets(request.group, policy, candidates, route)
-        )
+        for call in calls:
+            request.group.tickets.pending_workers.update(
+                worker.name for worker in call.workers
+            )
+            self.leader.spawn(
+                self._request_tickets(request.group, policy, call)
+            )
 
     async def _request_tickets(
         self,
         group: jobtable.Group,
         policy: jobspec.AdvicePolicy,
-        candidates: list[fleet.Worker],
-        route: adviceclient.AdviceRoute,
+        call: adviceclient.AdviceCall,
     ) -> None:
-        await self.leader.advice_client.request_tickets(
-            group, policy, candidates, route
-        )
+        await self.leader.advice_client.request_tickets(group, policy, call)
         self.leader.wake_event.set()
 
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/statepage.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/statepage.py
@@ -87,7 +87,7 @@
     suitable = [worker for worker in workers if worker.fits(step.demand)]
     if not suitable:
         return 'no worker has room for one of its tasks'
-    if group.tickets.is_request_pending:
+    if group.tickets.pending_workers:
         return 'waiting for an answer from the advice service'
     if step.gang:
         return 'no room for all tasks of its gang at once'
--- a/tests/cluster/test_planner.py
+++ b/tests/cluster/test_planner.py
@@ -13,11 +13,13 @@
 import pytest
 
 from jujubebend_cluster import (
+    adviceclient,
     fleet,
     jobspec,
     jobtable,
     placement,
     planner,
+    preemption,
     progress,
 )
 from tests import fakecluster, virtualtime
@@ -61,6 +63,10 @@
     return [request.placement_request.group for request in plan.advice_requests]
 
 
+def _used_workers(plan):
+    return {planned.worker.name for planned in plan.placements}
+
+
 def _use_cpu(worker_fleet, cpu_milli):
     for worker in worker_fleet.workers.values():
         worker.used_cpu = cpu_milli
@@ -110,6 +116,29 @@
     _run_check(check)
 
 
+def test_work_that_can_be_preempted_uses_workers_that_a_gang_waits_for():
+    """Workers do not idle until the rest of the gang's capacity is free."""
+
+    def check():
+        worker_fleet = _fleet(2)
+        worker_fleet.workers['w0'].used_cpu = 32_000
+        gang = _group('g', jobspec.Step(4, LARGE, gang=True), URGENT)
+        lasting = _group('l', attrs.evolve(CHECKPOINTED, lasting=True))
+        preemptible = _group('p', CHECKPOINTED)
+        plan = _plan(
+            worker_fleet,
+            (URGENT, gang),
+            (TOLERANT, lasting),
+            (TOLERANT, preemptible),
+        )
+        assert [planned.task.group for planned in plan.placements] == [
+            preemptible,
+            preemptible,
+        ]
+
+    _run_check(check)
+
+
 def test_higher_ranks_may_use_reserved_workers():
     def check():
         worker_fleet = _fleet(1)
@@ -162,6 +191,22 @@
     _run_check(check)
 
 
+def test_urgent_work_uses_up_the_room_that_is_kept_for_it():
+    """What it already has on a fast worker is not kept free once more."""
+
+    def check():
+        worker_fleet = _fleet(2)
+        worker_fleet.workers['w0'].speed = 2.0
+        step = jobspec.Step(1, jobspec.Demand(8_000, 1))
+        urgent = _group('u', step)
+        tolerant = _group('t', jobspec.Step(7, jobspec.Demand(8_000, 1)))
+        plan = _plan(worker_fleet, (URGENT, urgent), (TOLERANT, tolerant))
+        assert plan.placements[0].worker.name == 'w0'
+        assert len(plan.placements) == 8
+
+    _run_check(check)
+
+
 def test_a_gang_of_one_rack_never_crosses_racks():
     def check():
         worker_fleet = _fleet(2)
@@ -376,13 +421,166 @@
         gang.tickets.queried_workers.update(('w0', 'w1'))
         gang.tickets.approvals['w0'] = ('t', 5.0)
         assert _advised_groups(_plan(worker_fleet, (ADVISED, gang))) == [gang]
-        for name in ('w1', 'w2', 'w3'):
-            gang.tickets.approvals[name] = ('t', 5.0)
+        # Each worker runs two of the gang's two tasks when it is empty.
+        enough = round(planner.APPROVED_CAPACITY_FACTOR)
+        for number in range(enough - 1):
+            gang.tickets.approvals[f'w{number}'] = ('t', 5.0)
+        assert _advised_groups(_plan(worker_fleet, (ADVISED, gang))) == [gang]
+        gang.tickets.approvals[f'w{enough - 1}'] = ('t', 5.0)
         assert not _plan(worker_fleet, (ADVISED, gang)).advice_requests
 
     _run_check(check)
 
 
+def test_a_wide_gang_asks_about_as_many_workers_as_it_needs():
+    def check():
+        worker_fleet = _fleet(200)
+        narrow = _group('n', jobspec.Step(2, LARGE, gang=True), ADVISED)
+        wide = _group('w', jobspec.Step(30, LARGE, gang=True), ADVISED)
+        plan = _plan(worker_fleet, (ADVISED, narrow), (ADVISED, wide))
+        counts = [request.worker_count for request in plan.advice_requests]
+        assert counts[0] == adviceclient.USUAL_WORKERS_PER_CALL
+        # Two tasks fit on a worker, and advice approves a third of them.
+        assert counts[1] == 30 / 2 * planner.APPROVED_CAPACITY_FACTOR * 3
+        # Requests without an answer count as far as approvals are expected.
+        wide.tickets.pending_workers.update(
+            f'w{number}' for number in range(150)
+        )
+        plan = _plan(worker_fleet, (ADVISED, wide))
+        assert plan.advice_requests[0].worker_count == counts[1] - 150
+
+    _run_check(check)
+
+
+def test_a_gang_waits_while_no_worker_is_usable():
+    """A new leader has jobs before it has reached any worker."""
+
+    def check():
+        worker_fleet = _fleet(0)
+        gang = _waiting_group('g', jobspec.Step(2, LARGE, gang=True), ADVISED)
+        plan = _plan(worker_fleet, (ADVISED, gang))
+        assert not (plan.placements or plan.advice_requests)
+
+    _run_check(check)
+
+
+def test_a_gang_runs_on_workers_of_like_speed():
+    def check():
+        worker_fleet = _fleet(4)
+        workers = worker_fleet.workers
+        for name, speed in (('w0', 1.7), ('w1', 0.7), ('w2', 1.7), ('w3', 0.7)):
+            workers[name].speed = speed
+        gang = _group('g', jobspec.Step(4, LARGE, gang=True))
+        plan = _plan(worker_fleet, (URGENT, gang))
+        assert _used_workers(plan) == {'w0', 'w2'}
+        # What no longer fits on the fast workers runs on slow ones alone.
+        second = _group('s', jobspec.Step(3, LARGE, gang=True))
+        plan = _plan(worker_fleet, (URGENT, second))
+        assert _used_workers(plan) == {'w1', 'w3'}
+
+    _run_check(check)
+
+
+def test_a_latency_tolerant_gang_leaves_fast_workers_to_urgent_work():
+    def check():
+        worker_fleet = _fleet(4)
+        for name, speed in (('w0', 1.7), ('w1', 0.7), ('w2', 1.7), ('w3', 0.7)):
+            worker_fleet.workers[name].speed = speed
+        gang = _group('g', jobspec.Step(4, LARGE, gang=True))
+        plan = _plan(worker_fleet, (TOLERANT, gang))
+        assert _used_workers(plan) == {'w1', 'w3'}
+
+    _run_check(check)
+
+
+def test_a_gang_that_fits_on_neither_speed_uses_both():
+    def check():
+        worker_fleet = _fleet(2)
+        worker_fleet.workers['w0'].speed = 2.0
+        gang = _group('g', jobspec.Step(4, LARGE, gang=True))
+        assert len(_plan(worker_fleet, (URGENT, gang)).placements) == 4
+
+    _run_check(check)
+
+
+def test_capacity_that_is_being_released_for_a_gang_is_kept_for_it():
+    """Another gang of its rank may not take what was preempted for it."""
+
+    def check():
+        worker_fleet = _fleet(2)
+        _run_tasks(worker_fleet, 'low', CHECKPOINTED)
+        first = _waiting_group('f', jobspec.Step(4, LARGE, gang=True))
+        other = _waiting_group('o', jobspec.Step(2, LARGE, gang=True))
+        plan = _plan(worker_fleet, (URGENT, first), (URGENT, other))
+        assert len(plan.preempted) == 4
+        for task in plan.preempted:
+            task.is_stopping = True
+        worker = worker_fleet.workers['w0']
+        for task in list(worker.tasks.values()):
+            worker.deallocate(task)
+        plan = _plan(worker_fleet, (URGENT, first), (URGENT, other))
+        assert not plan.placements
+
+    _run_check(check)
+
+
+def test_a_gang_without_valid_tickets_holds_up_no_gang_of_its_rank():
+    def check():
+        worker_fleet = _fleet(2)
+        _run_tasks(worker_fleet, 'low', attrs.evolve(CHECKPOINTED, tasks=1))
+        queue = attrs.evolve(ADVISED, rank=1)
+        wide = _waiting_group('w', jobspec.Step(4, LARGE, gang=True), queue)
+        narrow = _waiting_group('n', jobspec.Step(2, LARGE, gang=True), queue)
+        names = tuple(worker_fleet.workers)
+        wide.tickets.queried_workers.update(names)
+        wide.tickets.approvals.update(dict.fromkeys(names, ('t', -1.0)))
+        narrow.tickets.approvals.update(dict.fromkeys(names, ('t', 5.0)))
+        plan = _plan(worker_fleet, (queue, wide), (queue, narrow))
+        assert [planned.task.group for planned in plan.placements] == [
+            narrow,
+            narrow,
+        ]
+
+    _run_check(check)
+
+
+def test_nothing_is_preempted_for_a_gang_whose_tickets_expired():
+    def check():
+        worker_fleet = _fleet(2)
+        _run_tasks(worker_fleet, 'low', CHECKPOINTED)
+        queue = attrs.evolve(ADVISED, rank=1)
+        gang = _waiting_group('g', jobspec.Step(4, LARGE, gang=True), queue)
+        names = tuple(worker_fleet.workers)
+        gang.tickets.queried_workers.update(names)
+        gang.tickets.approvals.update(dict.fromkeys(names, ('t', -1.0)))
+        plan = _plan(worker_fleet, (queue, gang))
+        assert not plan.preempted
+        assert _advised_groups(plan) == [gang]
+        gang.tickets.approvals.update(dict.fromkeys(names, ('t', 5.0)))
+        assert len(_plan(worker_fleet, (queue, gang)).preempted) == 4
+
+    _run_check(check)
+
+
+def test_gangs_reserve_no_more_than_their_share_of_the_workers():
+    def check():
+        worker_fleet = _fleet(40)
+        _use_cpu(worker_fleet, 31_000)
+        queue = attrs.evolve(ADVISED, rank=1)
+        step = jobspec.Step(4, LARGE, gang=True)
+        gangs = [_waiting_group(f'g{number}', step) for number in range(10)]
+        for number, gang in enumerate(gangs):
+            for name in (f'w{2 * number}', f'w{2 * number + 1}'):
+                gang.tickets.approvals[name] = ('t', 5.0)
+        small = _group('s', jobspec.Step(40, jobspec.Demand(1_000, 1)))
+        pairs = [(queue, gang) for gang in gangs]
+        plan = _plan(worker_fleet, *pairs, (TOLERANT, small))
+        reserved = round(40 * preemption.MAX_RESERVED_SHARE)
+        assert len(plan.placements) == 40 - reserved
+
+    _run_check(check)
+
+
 def test_a_pass_tries_few_blocked_groups_but_all_new_ones_ask():
     def check():
         worker_fleet = _fleet(2)
