Check the permission to send orders where a start leaves

A process that is paused acted on a permission that had run out: a leader whose process stops for 12 s between the commit of a placement and its start sent the start when it woke, with a fresh lease. Another host leads by then, and a worker that only the paused one reaches has seen no higher token.

Change: WorkerController.start_run asks may_send_orders before each attempt. The new test fails without it (one start sent after the pause). Tests of silent workers (1 to 4 s, entry gone as long) and of starts with lost answers (1 to 4 s) pass with and without it: that cannot happen within a lease.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
@@ -120,6 +120,7 @@
             until = self.worker.extend_lease(now, START_TTL_S)
             if (
                 until is None
+                or not self.listener.may_send_orders()
                 or not task.is_current_run(run)
                 or task.is_stopping
             ):
--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from jujubebend import errors
 from jujubebend_cluster import (
+    committer,
     interfaces,
     jobrecords,
     jobspec,
@@ -177,6 +179,61 @@
     harness.run_scenario(scenario, *workers)
 
 
+@pytest.mark.parametrize('silence_seconds', [1, 2, 3, 4])
+def test_work_on_a_silent_worker_goes_on_where_it_is(silence_seconds):
+    """Its calls are not answered, and its entry is gone for as long."""
+
+    async def scenario(cluster):
+        term = await cluster.start_term()
+        await harness.wait_until(lambda: term.is_loaded)
+        for worker in cluster.workers.values():
+            worker.seconds = 8.0
+        cluster.submit_job(fakecluster.job('j'))
+        await harness.wait_until(lambda: harness.find_starts(cluster, 'j'))
+        silent = cluster.workers[harness.find_starts(cluster, 'j')[0][0]]
+        await asyncio.sleep(1)
+        silent.mute = True
+        cluster.unlist_worker(silent)
+        await asyncio.sleep(silence_seconds)
+        silent.mute = False
+        cluster.list_worker(silent)
+        await harness.wait_until(
+            lambda: harness.find_job_state(term, 'j') == 'completed'
+        )
+        assert len(harness.find_starts(cluster, 'j')) == 1
+
+    harness.run_scenario(scenario)
+
+
+@pytest.mark.parametrize('answer_delay', [1, 2, 4])
+def test_a_start_that_is_answered_late_runs_once(answer_delay):
+    """The worker runs it at once; neither start nor status is answered."""
+
+    async def scenario(cluster):
+        term = await cluster.start_term()
+        await harness.wait_until(lambda: term.is_loaded)
+        await asyncio.sleep(1)
+        start = fakecluster.Worker.start
+
+        async def lose_answer(worker, order):
+            await start(worker, order)
+            worker.mute = True
+            raise errors.UnreachableError('no answer')
+
+        with mock.patch.object(fakecluster.Worker, 'start', lose_answer):
+            cluster.submit_job(fakecluster.job('j'))
+            await harness.wait_until(lambda: harness.find_starts(cluster, 'j'))
+        await asyncio.sleep(answer_delay)
+        for worker in cluster.workers.values():
+            worker.mute = False
+        await harness.wait_until(
+            lambda: harness.find_job_state(term, 'j') == 'completed'
+        )
+        assert len(harness.find_starts(cluster, 'j')) == 1
+
+    harness.run_scenario(scenario)
+
+
 def test_a_refused_connection_is_no_proof_of_a_dead_worker():
     """The connection is refused while the worker still runs its task.
 
@@ -605,6 +662,47 @@
     return [task.run for task in job.groups[0, 0].tasks] if job else []
 
 
+def test_a_leader_that_was_paused_before_a_start_does_not_send_it():
+    """Its process stops between the commit and the start, for 12 s.
+
+    Another host may lead by then, and have waited for the leases of a worker
+    that only this leader reaches. So the permission to send orders is checked
+    where they leave.
+    """
+    sent = []
+    pauses = [12]
+
+    async def scenario(cluster):
+        term = await cluster.start_term()
+        await harness.wait_until(lambda: term.is_loaded)
+        await asyncio.sleep(1)
+        flush, start = committer.Committer.flush, fakecluster.Worker.start
+
+        async def flush_and_pause(commits):
+            await flush(commits)
+            if pauses and _run_numbers(term) == [1]:
+                asyncio.get_running_loop().clock.now += pauses.pop()
+
+        async def record_start(worker, order):
+            sent.append(order)
+            return await start(worker, order)
+
+        with (
+            mock.patch.object(committer.Committer, 'flush', flush_and_pause),
+            mock.patch.object(fakecluster.Worker, 'start', record_start),
+        ):
+            cluster.submit_job(fakecluster.job('j'))
+            await harness.wait_until(lambda: not pauses)
+            await asyncio.sleep(1)
+            assert not sent
+            term = await cluster.start_term(2)
+            await harness.wait_until(
+                lambda: harness.find_job_state(term, 'j') == 'completed'
+            )
+
+    harness.run_scenario(scenario)
+
+
 def test_a_start_that_reaches_a_new_incarnation_runs_nothing_twice():
     """A worker restarts before it answered a start, which then arrives late.
 
