Order latency-tolerant work by what it takes on slow workers

Cause of what plans still lose under overload: a group counted as able to meet its objective until its declared work no longer fitted. Such work goes to slow workers, which take 1.7 times as long, so in an overload each gang started just too late.

Change: latency-tolerant groups are judged by 1.7 times their declared work.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -26,6 +26,9 @@
 
 # A job that is later than this multiple of its objective earns nothing.
 LATE_FACTOR = 3.0
+# Latency-tolerant work may run on slow workers, which take this multiple of the
+# declared work.
+SLOW_WORKER_FACTOR = 1.7
 # A gang has enough approved workers once they could run this multiple of its
 # tasks.
 APPROVED_CAPACITY_FACTOR = 8.0
@@ -208,6 +211,8 @@
 
     Within a rank, groups that can still meet their objective go before those
     that cannot: with the oldest first, an overload would make every job late.
+    Latency-tolerant groups must be able to meet it on slow workers too, or an
+    overload would let each of them start just too late for those.
     """
     spec = group.job.spec
     objective = queue.objective(spec)
@@ -216,7 +221,10 @@
         begins_at = spec.first_due + group.occurrence * spec.interval
     due_at = begins_at + objective
     is_too_late = unix_now > begins_at + LATE_FACTOR * objective
-    misses_objective = unix_now + group.step.estimate > due_at
+    run_seconds = group.step.estimate
+    if placement.is_latency_tolerant(queue):
+        run_seconds *= SLOW_WORKER_FACTOR
+    misses_objective = unix_now + run_seconds > due_at
     return int(is_too_late), queue.rank, int(misses_objective), due_at
 
 
--- a/tests/cluster/test_planner.py
+++ b/tests/cluster/test_planner.py
@@ -312,6 +312,30 @@
     _run_check(check)
 
 
+@pytest.mark.parametrize(
+    ('queue', 'old_goes_first'), [(URGENT, True), (TOLERANT, False)]
+)
+def test_work_that_would_miss_its_objective_on_a_slow_worker_goes_later(
+    queue, old_goes_first
+):
+    """It can only be in time on a fast worker, which urgent work gets."""
+
+    def check():
+        step = jobspec.Step(1, LARGE, 10.0)
+        objective = queue.objective(_group('g', step, queue).job.spec)
+        old, new = (_group(name, step, queue) for name in ('old', 'new'))
+        now = 1_000.0
+        # The older one is due 11 s from now, after 10 s of declared work.
+        for group, due_in in ((old, 11), (new, 20)):
+            group.job.spec = attrs.evolve(
+                group.job.spec, accepted_at=now + due_in - objective
+            )
+        keys = [planner.urgency_key(queue, group, now) for group in (old, new)]
+        assert (keys[0] < keys[1]) == old_goes_first
+
+    _run_check(check)
+
+
 def _run_tasks(worker_fleet, name, step, queue=TOLERANT, percent=50):
     """Place the tasks of a step and mark them as running."""
     group = _group(name, step, queue)
