--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -104,6 +104,31 @@
     harness.run_scenario(scenario, *workers)
 
 
+def test_orders_go_out_once_while_two_leaders_overlap():
+    """The former leader is neither killed nor told that it was replaced."""
+
+    async def scenario(cluster):
+        former = await cluster.start_term()
+        await harness.wait_until(lambda: former.is_loaded)
+        names = [f'j{number}' for number in range(40)]
+        for number, name in enumerate(names):
+            if number == len(names) // 2:
+                term = await cluster.start_term(2)
+            cluster.submit_job(fakecluster.job(name, jobspec.Step(2, DEMAND)))
+            await asyncio.sleep(0.05)
+        await harness.wait_until(
+            lambda: all(
+                harness.find_job_state(term, name) == 'completed'
+                for name in names
+            )
+        )
+        for name in names:
+            tasks = [task for _, task, _ in harness.find_starts(cluster, name)]
+            assert len(tasks) == len(set(tasks)) == 2
+
+    harness.run_scenario(scenario)
+
+
 def test_a_new_leader_keeps_committing_while_it_loads_many_jobs():
     """Loading must not block the event loop.
 
