Learn the speed of workers from runs of the same group

Tasks of one group are wrong by the same factor, so the group's earlier runs say what a task of it takes, and each run is compared with that. Estimates are of logarithms with a variance each; a run that deviates by more than three standard deviations shows a change.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from jujubebend_cluster import interfaces, jobspec, jobtable
+from jujubebend_cluster import interfaces, jobspec, jobtable, speeds
 
 # Lowest rate of a worker's monotonic clock: it may run 2% slow.
 SLOWEST_CLOCK_RATE = 0.98
@@ -23,13 +23,6 @@
 # suspension until a run succeeds.
 FIRST_SUSPENSION_S = 4.0
 LONGEST_SUSPENSION_S = 16.0
-# Weight of the newest run in the moving average of a worker's speed.
-SPEED_WEIGHT = 0.25
-# Bounds on the speed of a single run, so that an outlier moves the average
-# only so far. A speed of 1 finishes a task in its declared time. Both are
-# multiples of the declared speed.
-MAX_SPEED = 4.0
-MIN_SPEED = 0.1
 # Largest share of a service's workers that may be suspended at the same time.
 MAX_SUSPENDED_SHARE = 0.34
 NO_DEMAND = jobspec.Demand()
@@ -74,6 +67,9 @@
     suspended_until: float = 0
     suspension_s: float = FIRST_SUSPENSION_S
     speed: float = 1
+    speed_estimate: speeds.SpeedEstimate = attrs.field(
+        factory=speeds.SpeedEstimate
+    )
     no_placements_until: float = 0
     unreached_since: float | None = None
     pace: int = 100
@@ -209,14 +205,13 @@
         self.suspension_s = min(LONGEST_SUSPENSION_S, self.suspension_s * 2)
         self.failure_score = 0
 
-    def update_speed(self, estimate: float, seconds: float) -> None:
-        """Update the average speed from a completed run.
-
-        ``estimate`` is the run's declared work and ``seconds`` its duration.
-        """
-        if estimate > 0 and seconds > 0:
-            run_speed = min(MAX_SPEED, max(MIN_SPEED, estimate / seconds))
-            self.speed += SPEED_WEIGHT * (run_speed - self.speed)
+    def update_speed(
+        self, work: speeds.WorkEstimate, seconds: float, now: float
+    ) -> None:
+        """Update speed and work from a completed run of ``seconds``."""
+        self.speed_estimate.add_run(work, seconds, now)
+        work.add_run(seconds, self.speed_estimate)
+        self.speed = self.speed_estimate.speed
 
     def _add_demand(self, task: jobtable.Task, sign: int) -> None:
         demand = task.group.step.demand
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/jobtable.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/jobtable.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from jujubebend_cluster import interfaces, jobspec, progress
+from jujubebend_cluster import interfaces, jobspec, progress, speeds
 
 # Share of the workers that advice approves for a step of which nothing is known
 # yet, and the number of workers queried that counts as much as this guess.
@@ -108,7 +108,8 @@
     """The tasks of one step in one occurrence of a job.
 
     ``failures`` counts the failed runs of a gang, which fails as a whole.
-    ``ready_at`` is when the steps before were done, None until then.
+    ``ready_at`` is when the steps before were done, None until then. ``work``
+    is what its runs took so far, None before the first.
     """
 
     job: Job
@@ -121,6 +122,7 @@
     placed_count: int = 0
     ready_at: float | None = None
     tickets: Tickets = attrs.field(factory=Tickets)
+    work: speeds.WorkEstimate | None = None
 
     @property
     def waiting_count(self) -> int:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/reconciler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/reconciler.py
@@ -15,6 +15,7 @@
     logs,
     pacing,
     progress,
+    speeds,
     workercontroller,
 )
 
@@ -155,8 +156,9 @@
             # The duration of a resumed run, a gang member or a filler does not
             # show the speed of the worker.
             is_full_run = not (task.checkpoint or step.gang or step.filler)
-            if is_full_run and task.placed_at:
-                worker.update_speed(step.estimate, now - task.placed_at)
+            started_at = task.answered_at
+            if is_full_run and task.placed_at and started_at is not None:
+                _update_speed(worker, task.group, now - started_at, now)
         elif outcome is interfaces.RunOutcome.FAILED:
             # Only the first failure of a task counts against a worker: a task
             # that fails on every worker is at fault itself.
@@ -264,3 +266,13 @@
             holder.no_placements_until = (
                 clock.now() + workercontroller.RENEWAL_PAUSE_S
             )
+
+
+def _update_speed(
+    worker: fleet.Worker, group: jobtable.Group, seconds: float, now: float
+) -> None:
+    """Update the worker's speed from a full run of a task of the group."""
+    if group.work is None and group.step.estimate > 0:
+        group.work = speeds.WorkEstimate.declared(group.step.estimate)
+    if group.work is not None and seconds > 0:
+        worker.update_speed(group.work, seconds, now)
