Learn speeds once all runs of a group are known

A group's runs are compared with each other when its last task is done. A new incarnation of a worker, which may be of another kind, makes its estimate as uncertain as none.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -198,7 +198,7 @@
                 f'r{number // 12}',
             )
             worker = fleet.Worker(entry, is_reachable=True)
-            worker.speed = next(speeds)
+            worker.speed_estimate.speed = next(speeds)
             self._speeds[name] = worker.speed
             self.worker_fleet.workers[name] = worker
         for number in range(self.mix.host_count):
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
@@ -36,7 +36,7 @@
     use at full pace. ``sensitive_cpu`` is the part of ``used_cpu`` that
     latency-sensitive tasks use. Fillers run at ``pace`` percent, which was last changed at
     ``pace_changed_at``; ``is_pace_pending`` is set while a new pace is being
-    sent. ``speed`` is relative to the declared work.
+    sent.
 
     ``suspended_until`` is set after failed runs, ``no_placements_until`` after
     a refused start or while the worker may still run something unknown.
@@ -66,7 +66,6 @@
     failure_score_at: float = 0
     suspended_until: float = 0
     suspension_s: float = FIRST_SUSPENSION_S
-    speed: float = 1
     speed_estimate: speeds.SpeedEstimate = attrs.field(
         factory=speeds.SpeedEstimate
     )
@@ -81,6 +80,11 @@
         """Store the worker's ID, which no later entry changes."""
         self.name = self.entry.worker
 
+    @property
+    def speed(self) -> float:
+        """Return the estimated speed, relative to the declared work."""
+        return self.speed_estimate.speed
+
     def record_clock(
         self, clock: float, sent_at: float, received_at: float
     ) -> None:
@@ -205,14 +209,6 @@
         self.suspension_s = min(LONGEST_SUSPENSION_S, self.suspension_s * 2)
         self.failure_score = 0
 
-    def update_speed(
-        self, work: speeds.WorkEstimate, seconds: float, now: float
-    ) -> None:
-        """Update speed and work from a completed run of ``seconds``."""
-        self.speed_estimate.add_run(work, seconds, now)
-        work.add_run(seconds, self.speed_estimate)
-        self.speed = self.speed_estimate.speed
-
     def _add_demand(self, task: jobtable.Task, sign: int) -> None:
         demand = task.group.step.demand
         if task.is_latency_sensitive:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/jobtable.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/jobtable.py
@@ -108,8 +108,8 @@
     """The tasks of one step in one occurrence of a job.
 
     ``failures`` counts the failed runs of a gang, which fails as a whole.
-    ``ready_at`` is when the steps before were done, None until then. ``work``
-    is what its runs took so far, None before the first.
+    ``ready_at`` is when the steps before were done, None until then.
+    ``full_runs`` are those of its tasks that ran from start to end at once.
     """
 
     job: Job
@@ -122,7 +122,7 @@
     placed_count: int = 0
     ready_at: float | None = None
     tickets: Tickets = attrs.field(factory=Tickets)
-    work: speeds.WorkEstimate | None = None
+    full_runs: list[speeds.Run] = attrs.field(factory=list)
 
     @property
     def waiting_count(self) -> int:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/reconciler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/reconciler.py
@@ -130,7 +130,9 @@
         )
         for released in released_tasks:
             self._release_capacity(released, worker)
-        if group.step.gang and not group.is_done:
+        if group.is_done:
+            _learn_speeds(group, now)
+        elif group.step.gang:
             self.dispatcher.stop_group(group)
         self.leader.job_table.complete_if_done(job, now)
         if job.is_ended:
@@ -156,9 +158,8 @@
             # The duration of a resumed run, a gang member or a filler does not
             # show the speed of the worker.
             is_full_run = not (task.checkpoint or step.gang or step.filler)
-            started_at = task.answered_at
-            if is_full_run and task.placed_at and started_at is not None:
-                _update_speed(worker, task.group, now - started_at, now)
+            if is_full_run and task.placed_at:
+                _record_run(worker, task, now)
         elif outcome is interfaces.RunOutcome.FAILED:
             # Only the first failure of a task counts against a worker: a task
             # that fails on every worker is at fault itself.
@@ -268,11 +269,16 @@
             )
 
 
-def _update_speed(
-    worker: fleet.Worker, group: jobtable.Group, seconds: float, now: float
-) -> None:
-    """Update the worker's speed from a full run of a task of the group."""
-    if group.work is None and group.step.estimate > 0:
-        group.work = speeds.WorkEstimate.declared(group.step.estimate)
-    if group.work is not None and seconds > 0:
-        worker.update_speed(group.work, seconds, now)
+def _record_run(worker: fleet.Worker, task: jobtable.Task, now: float) -> None:
+    """Keep the duration of a full run until those of its group are known."""
+    if task.answered_at is not None and now > task.answered_at:
+        task.group.full_runs.append(
+            speeds.Run(worker.speed_estimate, now - task.answered_at)
+        )
+
+
+def _learn_speeds(group: jobtable.Group, now: float) -> None:
+    """Learn the speeds of the workers from the full runs of a group."""
+    if group.step.estimate > 0:
+        speeds.learn_from_group(group.step.estimate, group.full_runs, now)
+    group.full_runs.clear()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/speeds.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/speeds.py
@@ -1,24 +1,25 @@
 """Estimates of the speed of workers from the durations of their runs.
 
 A declared duration can be wrong by a factor of ten, but all tasks of a group
-are wrong by about the same factor. So what the earlier runs of a group took, at
+are wrong by about the same factor. So what the other runs of a group took, at
 the speeds of their workers, tells how much work a task of the group really is,
-and the next run of the group how fast its worker is:
+and that tells how fast the worker of a run is:
 
->>> work = WorkEstimate.declared(2.0)
->>> for _ in range(8):  # on workers of speed 1, which need twice as long
-...     work.add_run(4.0, SpeedEstimate(variance=0.01))
->>> slow = SpeedEstimate()
->>> slow.add_run(work, 8.0, now=1.0)
+>>> usual, slow = SpeedEstimate(variance=0.01), SpeedEstimate()
+>>> runs = [Run(usual, 4.0), Run(usual, 4.0), Run(usual, 4.0), Run(slow, 8.0)]
+>>> learn_from_group(2.0, runs, now=1.0)
 >>> round(slow.speed, 1)
 0.6
 
-All estimates are of logarithms, with a variance each. Times are in seconds.
+A group is looked at once all its runs are known: its first ones are those of
+its shortest tasks. All estimates are of logarithms, with a variance each. Times
+are in seconds.
 """
 
 from __future__ import annotations
 
 import math
+from collections import abc
 
 import attrs
 
@@ -40,55 +41,76 @@
 MIN_SPEED = 0.1
 
 
-@attrs.define
+@attrs.define(eq=False)
 class SpeedEstimate:
-    """How fast a worker is; a speed of 1 takes the declared duration."""
+    """How fast a worker is; a speed of 1 takes the declared duration.
 
-    log_speed: float = 0
+    ``variance`` is that of the logarithm of ``speed``.
+    """
+
+    speed: float = 1
     variance: float = UNKNOWN_VARIANCE
     updated_at: float = 0
 
-    @property
-    def speed(self) -> float:
-        """Return the most likely speed, within its bounds."""
-        return min(MAX_SPEED, max(MIN_SPEED, math.exp(self.log_speed)))
+    def forget(self) -> None:
+        """Trust the estimate no more than that of an unknown worker."""
+        self.variance = UNKNOWN_VARIANCE
 
-    def add_run(self, work: WorkEstimate, seconds: float, now: float) -> None:
-        """Take a run of ``seconds`` of a task of that work into account."""
+    def update(self, log_speed: float, variance: float, now: float) -> None:
+        """Take a measured speed with its variance into account."""
         elapsed = max(0, now - self.updated_at) if self.updated_at else 0
         self.updated_at = now
-        variance = min(
+        own_variance = min(
             UNKNOWN_VARIANCE, self.variance + DRIFT_VARIANCE * elapsed
         )
-        deviation = work.log_seconds - math.log(seconds) - self.log_speed
-        run_variance = work.variance + _run_variance(seconds)
-        if deviation**2 > CHANGE_DEVIATIONS**2 * (variance + run_variance):
-            variance = UNKNOWN_VARIANCE
-        gain = variance / (variance + run_variance)
-        self.log_speed += gain * deviation
-        self.variance = (1 - gain) * variance
-
-
-@attrs.define
-class WorkEstimate:
-    """How long a task of a group takes on a worker of speed 1."""
-
-    log_seconds: float
-    variance: float = DECLARED_VARIANCE
-
-    @classmethod
-    def declared(cls, seconds: float) -> WorkEstimate:
-        """Return the estimate of a group that has run nothing yet."""
-        return cls(math.log(seconds))
-
-    def add_run(self, seconds: float, worker: SpeedEstimate) -> None:
-        """Take a run of a task of the group on a worker into account."""
-        log_seconds = math.log(seconds) + worker.log_speed
-        run_variance = worker.variance + _run_variance(seconds)
-        gain = self.variance / (self.variance + run_variance)
-        self.log_seconds += gain * (log_seconds - self.log_seconds)
-        self.variance *= 1 - gain
-
-
-def _run_variance(seconds: float) -> float:
-    return TASK_VARIANCE + (DURATION_ERROR_S / seconds) ** 2
+        deviation = log_speed - math.log(self.speed)
+        if deviation**2 > CHANGE_DEVIATIONS**2 * (own_variance + variance):
+            own_variance = UNKNOWN_VARIANCE
+        gain = own_variance / (own_variance + variance)
+        speed = self.speed * math.exp(gain * deviation)
+        self.speed = min(MAX_SPEED, max(MIN_SPEED, speed))
+        self.variance = (1 - gain) * own_variance
+
+
+@attrs.frozen
+class Run:
+    """A complete run of a task: the estimate of its worker, its duration."""
+
+    worker: SpeedEstimate
+    seconds: float
+
+    @property
+    def log_work(self) -> float:
+        """Return the work of the task, by the estimated speed."""
+        return math.log(self.seconds * self.worker.speed)
+
+    @property
+    def variance(self) -> float:
+        """Return the variance of a duration of the same work."""
+        return TASK_VARIANCE + (DURATION_ERROR_S / self.seconds) ** 2
+
+    @property
+    def weight(self) -> float:
+        """Return how much the run tells about the work of its group."""
+        return 1 / (self.variance + self.worker.variance)
+
+
+def learn_from_group(
+    declared: float, runs: abc.Sequence[Run], now: float
+) -> None:
+    """Update the speeds of the workers that ran the tasks of a group.
+
+    ``declared`` is the declared duration of a task.
+    """
+    weight = 1 / DECLARED_VARIANCE + sum(run.weight for run in runs)
+    total = math.log(declared) / DECLARED_VARIANCE + sum(
+        run.weight * run.log_work for run in runs
+    )
+    measured = []
+    for run in runs:
+        others_weight = weight - run.weight
+        log_work = (total - run.weight * run.log_work) / others_weight
+        log_speed = log_work - math.log(run.seconds)
+        measured.append((log_speed, 1 / others_weight + run.variance))
+    for run, (log_speed, variance) in zip(runs, measured, strict=True):
+        run.worker.update(log_speed, variance, now)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
@@ -331,6 +331,7 @@
         worker.entry = attrs.evolve(worker.entry, born=born)
         worker.clock_read_at = None
         worker.leased_until = 0
+        worker.speed_estimate.forget()
         worker.is_reachable = False
         self.acknowledged_end = 0
         self._is_status_stored = False
--- a/tests/cluster/test_adviceclient.py
+++ b/tests/cluster/test_adviceclient.py
@@ -50,7 +50,7 @@
     """It cannot make up for a worker that takes twice as long."""
     workers = _workers(90)
     for number, worker in enumerate(workers):
-        worker.speed = 0.6 if number % 3 else 1.4
+        worker.speed_estimate.speed = 0.6 if number % 3 else 1.4
         worker.used_cpu = 1_000 * (number % 3 == 0)
     spec = fakecluster.job('j', jobspec.Step(1, jobspec.Demand(1_000, 1)))
     group = jobtable.JobTable().add(spec).groups[0, 0]
--- a/tests/cluster/test_planner.py
+++ b/tests/cluster/test_planner.py
@@ -175,7 +175,7 @@
 def test_latency_tolerant_work_leaves_room_on_fast_workers():
     def check():
         worker_fleet = _fleet(4)
-        worker_fleet.workers['w3'].speed = 2.0
+        worker_fleet.workers['w3'].speed_estimate.speed = 2.0
         step = jobspec.Step(200, jobspec.Demand(800, 1))
         plan = _plan(worker_fleet, (TOLERANT, _group('g', step)))
         names = [planned.worker.name for planned in plan.placements]
@@ -183,7 +183,7 @@
         assert names.count('w3') == 40 * (1 - placement.RESERVED_FAST_SHARE)
         assert names.count('w0') == 40
         worker_fleet = _fleet(4)
-        worker_fleet.workers['w3'].speed = 2.0
+        worker_fleet.workers['w3'].speed_estimate.speed = 2.0
         plan = _plan(worker_fleet, (URGENT, _group('g', step, URGENT)))
         names = [planned.worker.name for planned in plan.placements]
         assert names[0] == 'w3'
@@ -197,7 +197,7 @@
 
     def check():
         worker_fleet = _fleet(2)
-        worker_fleet.workers['w0'].speed = 2.0
+        worker_fleet.workers['w0'].speed_estimate.speed = 2.0
         step = jobspec.Step(1, jobspec.Demand(8_000, 1))
         urgent = _group('u', step)
         tolerant = _group('t', jobspec.Step(7, jobspec.Demand(8_000, 1)))
@@ -533,7 +533,7 @@
         worker_fleet = _fleet(4)
         workers = worker_fleet.workers
         for name, speed in (('w0', 1.7), ('w1', 0.7), ('w2', 1.7), ('w3', 0.7)):
-            workers[name].speed = speed
+            workers[name].speed_estimate.speed = speed
         gang = _group('g', jobspec.Step(4, LARGE, gang=True))
         plan = _plan(worker_fleet, (URGENT, gang))
         assert _used_workers(plan) == {'w0', 'w2'}
@@ -549,7 +549,7 @@
     def check():
         worker_fleet = _fleet(4)
         for name, speed in (('w0', 1.7), ('w1', 0.7), ('w2', 1.7), ('w3', 0.7)):
-            worker_fleet.workers[name].speed = speed
+            worker_fleet.workers[name].speed_estimate.speed = speed
         gang = _group('g', jobspec.Step(4, LARGE, gang=True))
         plan = _plan(worker_fleet, (TOLERANT, gang))
         assert _used_workers(plan) == {'w1', 'w3'}
@@ -560,7 +560,7 @@
 def test_a_gang_that_fits_on_neither_speed_uses_both():
     def check():
         worker_fleet = _fleet(2)
-        worker_fleet.workers['w0'].speed = 2.0
+        worker_fleet.workers['w0'].speed_estimate.speed = 2.0
         gang = _group('g', jobspec.Step(4, LARGE, gang=True))
         assert len(_plan(worker_fleet, (URGENT, gang)).placements) == 4
 
--- a/tests/cluster/test_speeds.py
+++ b/tests/cluster/test_speeds.py
@@ -41,8 +41,8 @@
     def _play_group(self):
         declared = self.rng.lognormvariate(0, 0.5)
         error = self.rng.uniform(-MAX_DECLARED_ERROR, MAX_DECLARED_ERROR)
-        work = speeds.WorkEstimate.declared(declared)
         count = max(1, round(self.rng.expovariate(1 / self.mean_tasks)))
+        runs = []
         for _ in range(count):
             self.now += 1 / 600
             number = self.rng.choice(list(self.slowness))
@@ -53,9 +53,8 @@
                 * (1 + task_error)
                 * self.slowness[number]
             )
-            estimate = self.estimates[number]
-            estimate.add_run(work, seconds, self.now)
-            work.add_run(seconds, estimate)
+            runs.append(speeds.Run(self.estimates[number], seconds))
+        speeds.learn_from_group(declared, runs, self.now)
         return count
 
     def wrong_share(self):
@@ -85,18 +84,19 @@
     load.play(20 * 270)
     usual = load.estimates[0].speed
     for count in range(1, 4):
-        work = speeds.WorkEstimate.declared(1.0)
-        for number in range(3, 12, 3):
-            seconds = load.slowness[number]
-            work.add_run(seconds, load.estimates[number])
-        load.estimates[0].add_run(work, 5 * load.slowness[0], load.now + count)
+        runs = [
+            speeds.Run(load.estimates[number], load.slowness[number])
+            for number in range(3, 12, 3)
+        ]
+        runs.append(speeds.Run(load.estimates[0], 5 * load.slowness[0]))
+        speeds.learn_from_group(1.0, runs, load.now + count)
     assert load.estimates[0].speed < 0.5 * usual
 
 
 def test_a_single_odd_run_changes_little():
     """Its group ran nothing else, so the declared duration may be wrong."""
     estimate = speeds.SpeedEstimate(variance=0.03, updated_at=1.0)
-    estimate.add_run(speeds.WorkEstimate.declared(1.0), 3.0, 1.5)
+    speeds.learn_from_group(1.0, [speeds.Run(estimate, 3.0)], 1.5)
     assert estimate.speed == pytest.approx(0.95, abs=0.1)
 
 
@@ -104,6 +104,7 @@
     estimate = speeds.SpeedEstimate()
     for seconds in (1e-9, 1e9):
         for count in range(20):
-            work = speeds.WorkEstimate.declared(1.0)
-            estimate.add_run(work, seconds, count)
-        assert speeds.MIN_SPEED <= estimate.speed <= speeds.MAX_SPEED
+            runs = [speeds.Run(estimate, seconds)]
+            speeds.learn_from_group(1.0, runs, count)
+        assert estimate.speed >= speeds.MIN_SPEED - 1e-9
+        assert estimate.speed <= speeds.MAX_SPEED + 1e-9
