Tests: slow relays give up no work, a paused relay starts nothing twice

Seen to fail: slow relays when a worker's tasks are released at its first unanswered call; the paused relay when a start has no deadline and an unanswered one is released instead of stopped.

--- a/tests/cluster/test_relay.py
+++ b/tests/cluster/test_relay.py
@@ -9,6 +9,7 @@
 
 import attrs
 import orjson
+import pytest
 
 from jujubebend import errors
 from jujubebend_cluster import jobspec, keys, relay, relaycodec, relayserver
@@ -24,7 +25,8 @@
 class InMemoryRelays:
     """Relays in memory; those in ``unresponsive`` do not answer.
 
-    ``lose_answers`` is the number of answers to lose.
+    ``lose_answers`` is the number of answers to lose, and ``delay`` the time
+    in seconds by which an exchange and its answer are late.
     """
 
     cluster: harness.Cluster
@@ -32,6 +34,7 @@
     unresponsive: set = attrs.field(factory=set)
     exchanges: int = 0
     lose_answers: int = 0
+    delay: float = 0
 
     def __attrs_post_init__(self):
         for address in ('d1', 'd2', 'd3'):
@@ -46,6 +49,8 @@
     async def exchange(self, address, document, timeout):
         self.exchanges += 1
         await asyncio.sleep(0.003)
+        if self.delay:
+            await _wait_at_most(self.delay, timeout, address)
         if address in self.unresponsive:
             await asyncio.sleep(timeout)
             raise errors.UnreachableError(f'{address} is silent')
@@ -58,6 +63,12 @@
         return orjson.loads(orjson.dumps(reply))
 
 
+async def _wait_at_most(seconds, timeout, address):
+    await asyncio.sleep(min(seconds, timeout))
+    if seconds > timeout:
+        raise errors.UnreachableError(f'{address} is slow')
+
+
 async def _start_term_with_relays(cluster, epoch=1, cores=0.01):
     leader_term = await cluster.start_term(epoch)
     relay_network = InMemoryRelays(cluster)
@@ -183,6 +194,53 @@
     _run_scenario(scenario)
 
 
+@pytest.mark.parametrize('delay', [0.3, 0.7, 2.0])
+def test_work_goes_on_where_it_is_while_all_relays_are_slow(delay):
+    """The leases last for seconds, so a slow relay is no reason to give up."""
+
+    async def scenario(cluster):
+        leader_term, relay_network, _ = await _start_term_with_relays(cluster)
+        cluster.submit_job(fakecluster.job('j', jobspec.Step(4, DEMAND, 12.0)))
+        await harness.wait_until(
+            lambda: len(harness.find_starts(cluster, 'j')) == 4
+        )
+        relay_network.delay = delay
+        await asyncio.sleep(4)
+        relay_network.delay = 0
+        await _wait_completed(leader_term, ['j'])
+        assert len(harness.find_starts(cluster, 'j')) == 4
+
+    workers = [
+        fakecluster.Worker(f'w{number}', seconds=12) for number in range(4)
+    ]
+    harness.run_scenario(scenario, *workers)
+
+
+def test_a_start_from_a_relay_that_was_paused_runs_nothing_twice():
+    """The relay stops for 12 s with the order in hand, and then sends it."""
+    held = []
+    execute_call = relaycodec.execute_call
+
+    async def execute_late(calls, call_name, row, payloads):
+        if call_name == relaycodec.START and not held:
+            held.append(row)
+            await asyncio.sleep(12)
+        return await execute_call(calls, call_name, row, payloads)
+
+    async def scenario(cluster):
+        leader_term, _, _ = await _start_term_with_relays(cluster)
+        names = _submit_jobs(cluster, 2)
+        await _wait_completed(leader_term, names)
+        await asyncio.sleep(15)
+        assert held
+        assert all(
+            len(harness.find_starts(cluster, name)) == 3 for name in names
+        )
+
+    with mock.patch.object(relaycodec, 'execute_call', execute_late):
+        _run_scenario(scenario)
+
+
 def _count_workers_by_relay(router, workers):
     return collections.Counter(
         router.route_to(name).address for name in workers
