Ignore lease bounds that are not the last leader's

A leader of a build without such records neither reads nor removes them, and extends the leases of a worker that an earlier record bounds. The record names the epoch of its leader; one that is not the epoch before gives no bounds. Found while reading the change as a whole; test_the_record_of_a_leader_before_the_last_one_says_nothing.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/leases.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/leases.py
@@ -53,18 +53,22 @@
     def load(self, body: bytes | None) -> None:
         """Take over the record of the former leader, None if there is none.
 
-        A damaged record is logged and gives no bounds.
+        A damaged record is logged and gives no bounds. Nor does one of an
+        earlier leader: a build without such records may have led since, and
+        may have extended the leases.
         """
         if body is None:
             return
         try:
-            self._bounds = _decode(body, clock.now())
+            epoch, bounds = _decode(body, clock.now())
         except decoding.DECODE_ERRORS as exc:
             logs.lifecycle(
                 'error', what=f'lease bounds: {decoding.describe(exc)}'
             )
             return
-        self._recorded.update(self._bounds)
+        if epoch == self.commits.record.epoch - 1:
+            self._bounds = bounds
+            self._recorded.update(bounds)
         if self._bounds:
             logs.belief('lease_bounds_loaded', workers=len(self._bounds))
 
@@ -107,13 +111,20 @@
             self._put()
 
     def encode(self) -> bytes:
-        """Return the record: incarnation and seconds left by worker ID."""
+        """Return the record: the epoch, and a row for each worker.
+
+        A row holds the incarnation and the seconds left.
+        """
         now = clock.now()
         self._encoded = frozenset(self._bounds)
         self._recorded.update(self._encoded)
-        return orjson.dumps({
+        rows = {
             name: (bound.incarnation, round(max(0, bound.expires_at - now), 3))
             for name, bound in self._bounds.items()
+        }
+        return orjson.dumps({
+            'epoch': self.commits.record.epoch,
+            'workers': rows,
         })
 
     def mark_stored(self) -> None:
@@ -136,10 +147,11 @@
     return worker.lease_expires_at() if worker.tasks else None
 
 
-def _decode(body: bytes, now: float) -> dict[str, LeaseBound]:
-    return {
+def _decode(body: bytes, now: float) -> tuple[int, dict[str, LeaseBound]]:
+    document = orjson.loads(body)
+    return decoding.to_count(document['epoch']), {
         name: LeaseBound(
             decoding.to_count(incarnation), now + decoding.to_number(seconds)
         )
-        for name, (incarnation, seconds) in orjson.loads(body).items()
+        for name, (incarnation, seconds) in document['workers'].items()
     }
--- a/tests/cluster/test_leases.py
+++ b/tests/cluster/test_leases.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import orjson
+import pytest
 
 from jujubebend_cluster import clock, committer, fleet, jobspec, keys, leases
 from tests import fakecluster
@@ -156,19 +157,44 @@
     _run(scenario)
 
 
-def test_the_bound_of_an_earlier_incarnation_says_nothing():
+def _load(epoch, workers):
+    """Load a record into the bounds of a leader with epoch 5."""
     bounds = leases.LeaseBounds(_NoCommits())
-    bounds.load(orjson.dumps({'w1': (1, 3.0)}))
+    bounds.load(orjson.dumps({'epoch': epoch, 'workers': workers}))
+    return bounds
+
+
+def test_the_bound_of_an_earlier_incarnation_says_nothing():
+    bounds = _load(4, {'w1': (1, 3.0)})
     assert bounds.find('w1', 1) is not None
     assert bounds.find('w1', 2) is None
 
 
-def test_a_damaged_record_gives_no_bounds():
-    for body in (b'{', b'[]', b'{"w1": 5}', b'{"w1": [1, "x"]}', b'{"w1":[]}'):
-        bounds = leases.LeaseBounds(_NoCommits())
-        bounds.load(body)
-        assert bounds.find('w1', 1) is None
-        assert bounds.may_extend('w1')
+def test_the_record_of_a_leader_before_the_last_one_says_nothing():
+    """A leader of a former build neither reads nor writes such records."""
+    bounds = _load(3, {'w1': (1, 3.0)})
+    assert bounds.find('w1', 1) is None
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'{',
+        b'[]',
+        b'{}',
+        b'{"epoch": 4}',
+        b'{"epoch": "4", "workers": {}}',
+        b'{"epoch": 4, "workers": {"w1": 5}}',
+        b'{"epoch": 4, "workers": {"w1": [1, "x"]}}',
+        b'{"epoch": 4, "workers": {"w1": [1, NaN]}}',
+        b'{"epoch": 4, "workers": [1]}',
+    ],
+)
+def test_a_damaged_record_gives_no_bounds(body):
+    bounds = leases.LeaseBounds(_NoCommits())
+    bounds.load(body)
+    assert bounds.find('w1', 1) is None
+    assert bounds.may_extend('w1')
 
 
 def test_workers_that_answer_cost_no_commits():
@@ -182,11 +208,12 @@
 
 class _NoCommits(committer.Committer):
     def __init__(self):
-        """Skip the committer's own state."""
+        """Skip the committer's own state but its record."""
+        self.record = committer.LeaderRecord('h', 'h:1', epoch=5, serial=0)
 
     def put(self, key, entry):
         """Drop the entry."""
 
 
 def _read_record(cluster):
-    return orjson.loads(cluster.store.data[keys.LEASES].body)
+    return orjson.loads(cluster.store.data[keys.LEASES].body)['workers']
