explain: what was left out of the logs is not taken for an event

Cause: of a completed job whose queued line had been left out under load, explain said that no leader had loaded it. It now counts the lines left out while the job was under way, takes any line of a leader as a sign that it was loaded, and calls unknown what only a missing line would show. Seen to fail: 5 of the 7 new cases on the former code.

--- a/packages/jujubebend-ctl/src/jujubebend_ctl/explain.py
+++ b/packages/jujubebend-ctl/src/jujubebend_ctl/explain.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import collections
 import itertools
+import math
 from collections import abc
 
 import attrs
@@ -10,6 +12,20 @@
 
 # Longer intervals between two lines of a job are pointed out.
 GAP_SECONDS = 1.0
+# A host tells how many lines it has left out when it writes again, which may be
+# that much later.
+LEFT_OUT_DELAY_S = 1.0
+# Events that only a leader logs, once it has loaded the job.
+LEADER_EVENTS = frozenset((
+    'queued',
+    'advice',
+    'start',
+    'ended',
+    'stop',
+    'released',
+    'cancelled',
+    'job_ended',
+))
 
 
 @attrs.frozen
@@ -38,10 +54,15 @@
 
 @attrs.frozen
 class JobHistory:
-    """The log lines of one job by time, and the likely cause of its state."""
+    """The log lines of one job by time, and the likely cause of its state.
+
+    ``left_out`` counts the lines that each host left out of its log in that
+    time. Some of them may be of this job.
+    """
 
     lines: list[LogLine]
     cause: str
+    left_out: abc.Mapping[str, int] = attrs.field(factory=dict)
 
     def render(self) -> list[str]:
         """Return the history as lines of text, with long gaps marked."""
@@ -54,6 +75,10 @@
             if gap > GAP_SECONDS:
                 rendered.append(f'           ... {gap:.3f} s without a line')
             rendered.append(line.render(start))
+        rendered.extend(
+            f'{host} left out {count} lines in this time'
+            for host, count in sorted(self.left_out.items())
+        )
         return [*rendered, f'likely cause: {self.cause}']
 
 
@@ -86,8 +111,11 @@
 
 def build_history(lines: abc.Iterable[LogLine], job: str) -> JobHistory:
     """Return the history of a job, given its ID."""
-    job_lines = [line for line in lines if _mentions_job(line, job)]
-    return JobHistory(job_lines, _find_cause(job_lines))
+    all_lines = list(lines)
+    job_lines = [line for line in all_lines if _mentions_job(line, job)]
+    left_out = _count_left_out(all_lines, job_lines)
+    cause = _find_cause(job_lines, is_complete=not left_out)
+    return JobHistory(job_lines, cause, left_out)
 
 
 def _mentions_job(line: LogLine, job: str) -> bool:
@@ -96,9 +124,36 @@
     return str(line.fields.get('key', '')).endswith(f'/{job}')
 
 
-def _find_cause(job_lines: list[LogLine]) -> str:
-    if not job_lines:
+def _count_left_out(
+    all_lines: list[LogLine], job_lines: list[LogLine]
+) -> dict[str, int]:
+    """Count by host the lines left out while the job was under way.
+
+    A job without its last line is taken to be under way until the logs end.
+    """
+    start = job_lines[0].timestamp if job_lines else -math.inf
+    end = math.inf
+    last = _find_last(job_lines, 'job_ended')
+    if last is not None:
+        end = last.timestamp + LEFT_OUT_DELAY_S
+    counts: collections.Counter[str] = collections.Counter()
+    for line in all_lines:
+        if line.event == 'lines_left_out' and start <= line.timestamp <= end:
+            counts[line.host] += line.fields.get('count', 0)
+    return dict(counts)
+
+
+def _find_cause(job_lines: list[LogLine], *, is_complete: bool) -> str:
+    if not job_lines and is_complete:
         return 'no host has logged this job: it never arrived'
+    if not job_lines:
+        return 'unknown: no line names this job, but lines were left out'
+    if not is_complete and not _has_leader_lines(job_lines):
+        refusal = _explain_refusal(job_lines)
+        return refusal or (
+            'unknown: no line of a leader names this job, '
+            'but lines were left out'
+        )
     for find_explanation in (
         _explain_refusal,
         _explain_end,
@@ -153,11 +208,20 @@
     return f'run again after {reasons[0]} ({len(reasons)} runs lost)'
 
 
+def _has_leader_lines(job_lines: list[LogLine]) -> bool:
+    return any(line.event in LEADER_EVENTS for line in job_lines)
+
+
 def _explain_wait(job_lines: list[LogLine]) -> str:
-    queued = _find_last(job_lines, 'queued')
-    start = next((line for line in job_lines if line.event == 'start'), None)
-    if queued is None:
+    if not _has_leader_lines(job_lines):
         return 'accepted, but no leader has loaded it yet'
+    # Without its line from the leader, the job waited since its submission.
+    queued = _find_last(job_lines, 'queued') or job_lines[0]
+    start = next((line for line in job_lines if line.event == 'start'), None)
+    if start is None and (
+        _find_last(job_lines, 'ended') or _find_last(job_lines, 'job_ended')
+    ):
+        return 'no unusual events, but its starts are missing from the logs'
     if start is None:
         advice = _find_last(job_lines, 'advice')
         if advice is not None and not advice.fields.get('good'):
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -58,6 +58,44 @@
     assert cause in _build_history(*events).cause
 
 
+SUBMITTED = (0.9, 'submitted', {'job': 'j', 'outcome': 'stored'})
+ENDED = (2.0, 'job_ended', {'job': 'j', 'state': 'completed'})
+LEFT_OUT = (1.5, 'lines_left_out', {'count': 7})
+
+
+@pytest.mark.parametrize(
+    ('events', 'cause'),
+    [
+        ([SUBMITTED], 'no leader has loaded it'),
+        ([SUBMITTED, LEFT_OUT], 'unknown: no line of a leader'),
+        ([LEFT_OUT], 'unknown: no line names this job'),
+        ([SUBMITTED, LEFT_OUT, START, ENDED], 'no unusual events'),
+        ([SUBMITTED, LEFT_OUT, ENDED], 'starts are missing'),
+        ([SUBMITTED, (4.0, 'start', {'job': 'j'}), LEFT_OUT], 'waited 3.100 s'),
+        (
+            [(0.9, 'submitted', {'job': 'j', 'outcome': 'refused'}), LEFT_OUT],
+            'refused every submission',
+        ),
+    ],
+)
+def test_what_was_left_out_of_the_logs_is_not_taken_for_an_event(events, cause):
+    """Of a completed job it said that no leader had loaded it.
+
+    Its ``queued`` line had been left out under load.
+    """
+    assert cause in _build_history(*events).cause
+
+
+def test_the_lines_left_out_while_a_job_was_under_way_are_counted():
+    later = (9.0, 'lines_left_out', {'count': 100})
+    earlier = (0.1, 'lines_left_out', {'count': 50})
+    history = _build_history(earlier, SUBMITTED, LEFT_OUT, START, ENDED, later)
+    assert history.left_out == {'h1': 7}
+    assert 'h1 left out 7 lines in this time' in history.render()
+    history = _build_history(earlier, SUBMITTED, LEFT_OUT, later)
+    assert history.left_out == {'h1': 107}
+
+
 def test_lines_of_other_jobs_and_other_text_are_left_out():
     raw_lines = [
         b'Traceback (most recent call last):\n',
