--- a/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import collections
+
 import attrs
 
 from jujubebend_cluster import interfaces, jobspec, jobtable, speeds
@@ -34,9 +36,9 @@
 
     ``used_cpu`` does not include fillers: ``filler_cpu`` is what they would
     use at full pace. ``sensitive_cpu`` is the part of ``used_cpu`` that
-    latency-sensitive tasks use. Fillers run at ``pace`` percent, which was last changed at
-    ``pace_changed_at``; ``is_pace_pending`` is set while a new pace is being
-    sent.
+    latency-sensitive tasks use. Fillers run at ``pace`` percent, which was last
+    changed at ``pace_changed_at``; ``is_pace_pending`` is set while a new pace
+    is being sent.
 
     ``suspended_until`` is set after failed runs, ``no_placements_until`` after
     a refused start or while the worker may still run something unknown.
@@ -283,14 +285,14 @@
 
     def measure_services(self) -> dict[str, ServiceSize]:
         """Return the size of each service, by name."""
-        sizes: dict[str, ServiceSize] = {}
+        sizes: dict[str, ServiceSize] = collections.defaultdict(ServiceSize)
         for worker in self.listed_workers():
-            size = sizes.setdefault(worker.entry.service, ServiceSize())
+            size = sizes[worker.entry.service]
             size.worker_count += 1
             size.cpu_milli += worker.entry.capacity.cpu_milli
             size.memory_mb += worker.entry.capacity.memory_mb
             size.accelerators += worker.entry.capacity.accelerators
-        return sizes
+        return dict(sizes)
 
     def may_suspend(self, worker: Worker, now: float) -> bool:
         """Return whether one more worker of its service may be suspended."""
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/jobwriter.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/jobwriter.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import enum
+import math
 from collections import abc
 
 import attrs
@@ -27,7 +27,6 @@
 
 RETRY_PAUSE_S = 0.08
 ATTEMPT_TIMEOUT_S = 0.6  # a store slowed down 60 times takes 0.34 s
-DIRECT_PATH = ''  # from this host to the store, not through the leader
 PROBE_INTERVAL_S = 0.3  # between attempts through an unresponsive leader
 STORE_PROBE_INTERVAL_S = 0.2  # between reads of an unresponsive store
 
@@ -43,11 +42,13 @@
 
 @attrs.define(eq=False)
 class _Path:
-    """A path to the store; it is not used while it is unresponsive.
+    """A path to the store; an unresponsive one is only probed at intervals.
 
-    The leader's path is tried again at intervals, with a write.
+    With an infinite ``probe_interval_s`` no write probes it: what else finds
+    that the store responds clears ``is_unresponsive``.
     """
 
+    probe_interval_s: float = PROBE_INTERVAL_S
     is_unresponsive: bool = False
     next_probe_at: float = 0
 
@@ -56,7 +57,7 @@
         now = clock.now()
         if self.is_unresponsive and now < self.next_probe_at:
             return False
-        self.next_probe_at = now + PROBE_INTERVAL_S
+        self.next_probe_at = now + self.probe_interval_s
         return True
 
 
@@ -75,16 +76,16 @@
     store: interfaces.Store
     peer_client: peers.PeerClient
     elector: elector.Elector
-    _paths: dict[str, _Path] = attrs.field(factory=dict)
+    _direct_path: _Path = attrs.field(factory=lambda: _Path(math.inf))
+    _leader_paths: dict[str, _Path] = attrs.field(factory=dict)
 
     async def run(self) -> None:
         """Probe the store while it does not respond, until cancelled."""
-        path = self._paths.setdefault(DIRECT_PATH, _Path())
         async with asyncio.TaskGroup() as probes:
             while True:
                 await asyncio.sleep(STORE_PROBE_INTERVAL_S)
-                if path.is_unresponsive:
-                    probes.create_task(self._probe_store(path))
+                if self._direct_path.is_unresponsive:
+                    probes.create_task(self._probe_store())
 
     async def create(
         self, job: str, body: bytes, deadline: float
@@ -124,7 +125,9 @@
         self, job: str, body: bytes, deadline: float
     ) -> WriteOutcome:
         write = create_job(self.store, job, body)
-        direct_outcome = await self._attempt_write(DIRECT_PATH, write, deadline)
+        direct_outcome = await self._attempt_write(
+            self._direct_path, write, deadline
+        )
         if direct_outcome is WriteOutcome.STORED:
             return direct_outcome
         leader_address = self.elector.leader_address
@@ -132,8 +135,9 @@
             return direct_outcome
         # The leader may reach a store that refuses this host.
         relayed_write = self.peer_client.store_job(leader_address, job, body)
+        leader_path = self._leader_paths.setdefault(leader_address, _Path())
         relayed_outcome = await self._attempt_write(
-            leader_address, relayed_write, deadline
+            leader_path, relayed_write, deadline
         )
         if (
             WriteOutcome.UNKNOWN in {direct_outcome, relayed_outcome}
@@ -142,22 +146,22 @@
             return WriteOutcome.UNKNOWN
         return relayed_outcome
 
-    async def _probe_store(self, path: _Path) -> None:
-        with contextlib.suppress(errors.UnreachableError, TimeoutError):
-            try:
-                async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
-                    await self.store.get(committer.LEADER_KEY)
-            except (errors.RefusedError, errors.MalformedReplyError) as exc:
-                logs.dependency('store', lost=True, why=str(exc))
-            path.is_unresponsive = False
+    async def _probe_store(self) -> None:
+        try:
+            async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
+                await self.store.get(committer.LEADER_KEY)
+        except (errors.RefusedError, errors.MalformedReplyError) as exc:
+            logs.dependency('store', lost=True, why=str(exc))
+        except (errors.UnreachableError, TimeoutError):
+            return
+        # The store has answered, if only to refuse.
+        self._direct_path.is_unresponsive = False
 
     async def _attempt_write(
-        self, path_name: str, write: abc.Coroutine, deadline: float
+        self, path: _Path, write: abc.Coroutine, deadline: float
     ) -> WriteOutcome:
-        path = self._paths.setdefault(path_name, _Path())
         remaining = deadline - clock.now()
-        is_closed = path_name == DIRECT_PATH and path.is_unresponsive
-        if remaining <= 0 or is_closed or not path.admit_attempt():
+        if remaining <= 0 or not path.admit_attempt():
             write.close()
             return WriteOutcome.REFUSED
         try:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -2,8 +2,8 @@
 
 Groups are taken in order of urgency: by rank, then by whether they can still
 meet their objective, then by when they have to start for that. Groups that are
-too late to earn anything go last. A gang is placed as a whole or not at all. While a gang
-waits for capacity, the workers that it needs are reserved against
+too late to earn anything go last. A gang is placed as a whole or not at all.
+While a gang waits for capacity, the workers that it needs are reserved against
 lower-ranked work, and lower-ranked tasks with checkpoints are preempted.
 """
 
@@ -120,8 +120,8 @@
         """Reserve workers, preempt lower-ranked tasks and request advice."""
         approved = self.placer.approved_workers(request)
         awaited_workers = frozenset()
-        may_fit = self._may_ever_fit(request, approved)
-        if may_fit and preemption.may_reserve(self.placer):
+        may_reserve = preemption.may_reserve(self.placer)
+        if may_reserve and self._may_ever_fit(request, approved):
             reservation = preemption.reserve_workers(
                 self.placer, request, approved
             )
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/submissions.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/submissions.py
@@ -1,4 +1,8 @@
-"""Loads submitted jobs and cancellations from the store and follows them."""
+"""Loads submitted jobs and cancellations from the store and follows them.
+
+With them it loads what former leaders recorded: the progress of the jobs and
+the bounds on the leases of silent workers.
+"""
 
 from __future__ import annotations
 
