--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -179,6 +179,36 @@
     harness.run_scenario(scenario, *workers)
 
 
+@pytest.mark.parametrize('has_drained', [True, False])
+def test_a_new_leader_uses_no_worker_that_has_left(has_drained):
+    """The former leader used it; its entry went before or after the change."""
+
+    async def scenario(cluster):
+        term = await cluster.start_term()
+        await harness.wait_until(lambda: term.is_loaded)
+        cluster.submit_job(fakecluster.job('first', jobspec.Step(8, DEMAND)))
+        await harness.wait_until(
+            lambda: harness.find_job_state(term, 'first') == 'completed'
+        )
+        leaver = cluster.workers['w1']
+        assert leaver.started
+        if has_drained:
+            cluster.list_worker(leaver, interfaces.WorkerState.DRAINING)
+            await asyncio.sleep(0.5)
+        await cluster.kill_leader()
+        cluster.unlist_worker(leaver)
+        leaver.started.clear()
+        term = await cluster.start_term(2)
+        await harness.wait_until(lambda: term.is_loaded)
+        cluster.submit_job(fakecluster.job('second', jobspec.Step(8, DEMAND)))
+        await harness.wait_until(
+            lambda: harness.find_job_state(term, 'second') == 'completed'
+        )
+        assert not leaver.started
+
+    harness.run_scenario(scenario)
+
+
 @pytest.mark.parametrize('silence_seconds', [1, 2, 3, 4])
 def test_work_on_a_silent_worker_goes_on_where_it_is(silence_seconds):
     """Its calls are not answered, and its entry is gone for as long."""
