Review: harness and case 1, an unusable worker entry stops the cluster

Cause: an entry of servers/ whose address has a port out of range raises OverflowError in httpclient.Client.call, which ends each term of the leader.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../run-case.sh" 1
