Review case 3: one gang that never fits keeps lower ranks off all workers

Cause: _may_ever_fit is always true for a gang of a queue without advice, and its reservation is extended to all workers. Done: case 3 with its claim. Nothing is fixed.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+here=$(cd "$(dirname "$0")" && pwd)
+exec "$here/../run-case.sh" "$(basename "$here")"
