Release no run because of a restart alone: the worker's next list decides

Cause: a start that was under way is repeated, and the new incarnation, which has seen no token yet, accepts it. Its answer names no incarnation. When the leader then learned of the restart, handle_incarnation_start released every run whose start had been answered.

Now a restart is learnt from the worker's answers only, and it ends no run. The token rises, the next renewal shuts out older orders, and what its list does not have has ended. An entry of another incarnation keeps new work away, since only the entry tells the capacity and labels of an incarnation.

test_runs_of_an_earlier_incarnation_are_released now has the restarted worker write its entry, as workers do; its assertions are the same.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
@@ -167,7 +167,8 @@
     if task.is_stopping:
         return 'withdrawn before its start was sent'
     is_ready = worker.entry.state is interfaces.WorkerState.READY
-    if not is_ready or task.incarnation != worker.entry.born:
+    is_same = worker.is_entry_current and task.incarnation == worker.incarnation
+    if not is_ready or not is_same:
         return 'its worker changed before its start was sent'
     tickets = task.group.tickets
     if start.ticket and tickets.valid_ticket(worker.name, clock.now()) is None:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
@@ -32,7 +32,13 @@
 
 @attrs.define(eq=False)
 class Worker:
-    """One incarnation of a worker.
+    """A worker, in the incarnation that answered last.
+
+    ``entry`` is its latest entry in the store, which may be of another
+    ``incarnation``: the worker may have restarted since, or may be about to
+    answer for the first time after a restart. Before its first answer the
+    worker is taken to be of the incarnation of its first entry.
+    ``restart_seen_at`` is when an answer first told of a new incarnation.
 
     ``used_cpu`` does not include fillers: ``filler_cpu`` is what they would
     use at full pace. ``sensitive_cpu`` is the part of ``used_cpu`` that
@@ -50,6 +56,8 @@
 
     entry: interfaces.WorkerEntry
     name: str = attrs.field(init=False)
+    incarnation: int = attrs.field(init=False)
+    restart_seen_at: float = 0
     is_listed: bool = True
     unlisted_at: float = 0
     is_reachable: bool = False
@@ -81,12 +89,21 @@
     def __attrs_post_init__(self) -> None:
         """Store the worker's ID, which no later entry changes."""
         self.name = self.entry.worker
+        self.incarnation = self.entry.born
 
     @property
     def speed(self) -> float:
         """Return the estimated speed, relative to the declared work."""
         return self.speed_estimate.speed
 
+    @property
+    def is_entry_current(self) -> bool:
+        """Return whether the entry is of the present incarnation.
+
+        Another incarnation may have other capacity and other labels.
+        """
+        return self.entry.born == self.incarnation
+
     def record_clock(
         self, clock: float, sent_at: float, received_at: float
     ) -> None:
@@ -133,6 +150,7 @@
         """Return whether new tasks may be placed on the worker."""
         return (
             self.is_listed
+            and self.is_entry_current
             and self.is_reachable
             and self.entry.state is interfaces.WorkerState.READY
             and now >= self.no_placements_until
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/leases.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/leases.py
@@ -103,7 +103,7 @@
             expires_at = _bound_lease(worker, now)
             if expires_at is not None:
                 self._bounds[worker.name] = LeaseBound(
-                    worker.entry.born, expires_at
+                    worker.incarnation, expires_at
                 )
         is_due = now >= self._record_due_at
         if (self._bounds or self._recorded) and is_due:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/reconciler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/reconciler.py
@@ -77,26 +77,20 @@
             self.dispatcher.release_run(worker, task, why)
         self.leader.wake_event.set()
 
-    def handle_incarnation_start(self, worker: fleet.Worker, why: str) -> None:
-        """Release the runs of the last incarnation.
+    def handle_incarnation_start(self, worker: fleet.Worker) -> None:
+        """Keep the worker's runs until its next list of runs.
 
-        A start that was never answered may still reach the new incarnation,
-        which knows no fencing token before its first status is read. Such a
-        run is kept until that status lists it or not.
+        Any of them may be in the new incarnation, which had seen no fencing
+        token before: it carries out each start that reaches it, the repeated
+        and the delayed ones too, and its answer to a start does not tell which
+        incarnation gave it. The next renewal has a higher token and shuts
+        them out. A run that is not listed then has ended or never starts.
         """
         now = clock.now()
-        unanswered = [
-            task
-            for task in worker.tasks.values()
-            if task.is_start_sent and task.answered_at is None
-        ]
-        for task in unanswered:
-            worker.deallocate(task)
-        self.handle_incarnation_end(worker, why)
-        for task in unanswered:
-            worker.allocate(task)
-            task.incarnation = worker.entry.born
-            task.answered_at = now
+        worker.restart_seen_at = now
+        for task in worker.tasks.values():
+            if task.is_start_sent and task.answered_at is None:
+                task.answered_at = now
 
     def handle_fencing(self, worker: fleet.Worker) -> None:
         """End the term: a worker has seen a higher fencing token."""
@@ -196,7 +190,7 @@
             answered_at = task.answered_at
             if task.name in listed_tasks or answered_at is None:
                 continue
-            if sent_at > answered_at:
+            if sent_at > max(answered_at, worker.restart_seen_at):
                 self.dispatcher.release_run(
                     worker, task, 'the worker does not list the run'
                 )
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/scheduler.py
@@ -108,7 +108,7 @@
             task, worker = planned.task, planned.worker
             run = runs[task.name]
             self.leader.job_table.assign_run(
-                task, worker.name, worker.entry.born, run
+                task, worker.name, worker.incarnation, run
             )
             task.placed_at = now
             task.progressed_at = now
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
@@ -50,8 +50,8 @@
         """Handle that all runs of the worker's last incarnation are over."""
         ...
 
-    def handle_incarnation_start(self, worker: fleet.Worker, why: str) -> None:
-        """Handle a new incarnation under the same worker ID."""
+    def handle_incarnation_start(self, worker: fleet.Worker) -> None:
+        """Handle an answer of a new incarnation under the same worker ID."""
         ...
 
     def handle_fencing(self, worker: fleet.Worker) -> None:
@@ -103,13 +103,21 @@
             await self.calls.close()
 
     def update_entry(self, entry: interfaces.WorkerEntry) -> None:
-        """Apply a newer entry of the worker, possibly a new incarnation."""
+        """Apply a newer entry of the worker.
+
+        An entry of another incarnation ends no run: it may be older than the
+        worker's last answer, and runs may have started since the restart that
+        it tells of. The worker's next answer decides.
+        """
         old_entry = self.worker.entry
-        if entry.born != old_entry.born:
-            self._start_incarnation(
-                entry.born, 'its store entry has a new incarnation'
-            )
         self.worker.entry = entry
+        if entry.born != old_entry.born and not self.worker.is_entry_current:
+            logs.belief(
+                'worker_entry_differs',
+                worker=entry.worker,
+                born=entry.born,
+                known=self.worker.incarnation,
+            )
         if entry.address != old_entry.address:
             self._replaced_calls.append(self.calls)
             self.calls = self.connect_worker(entry.worker, entry.address)
@@ -256,14 +264,17 @@
     ) -> None:
         worker = self.worker
         received_at = clock.now()
-        if status.born and status.born != worker.entry.born:
-            self._start_incarnation(
-                status.born, 'its status has a new incarnation'
-            )
+        born = status.born or worker.entry.born
+        is_restarted = born != worker.incarnation
+        if is_restarted:
+            self._start_incarnation(born)
         if worker.clock_read_at is None:
             # The status shuts out former leaders, whose leases may last longer
             # than those that this leader grants first.
             worker.leased_until = status.clock + self.lease
+        if is_restarted:
+            # A start that is under way may still get a lease there.
+            worker.leased_until += START_TTL_S
         worker.record_clock(status.clock, sent_at, received_at)
         if status.running is not None:
             self._runs_listed_at = sent_at
@@ -274,14 +285,14 @@
         last_end = max(
             (end.number for end in status.ended), default=self.acknowledged_end
         )
-        incarnation = worker.entry.born
+        incarnation = worker.incarnation
         handler_task = asyncio.ensure_future(
             self.listener.handle_status(worker, status, sent_at)
         )
         handler_task.add_done_callback(_log_handler_failure)
         done, _ = await asyncio.wait({handler_task}, timeout=RENEWAL_PAUSE_S)
         self._is_status_stored = bool(done) and handler_task.result()
-        if self._is_status_stored and worker.entry.born == incarnation:
+        if self._is_status_stored and worker.incarnation == incarnation:
             self.acknowledged_end = max(self.acknowledged_end, last_end)
 
     async def _handle_no_answer(self, why: str) -> None:
@@ -319,16 +330,15 @@
             logs.belief('worker_unreached', worker=worker.name, why=why)
         worker.is_reachable = False
 
-    def _start_incarnation(self, born: int, why: str) -> None:
+    def _start_incarnation(self, born: int) -> None:
         worker = self.worker
         logs.belief(
             'worker_reborn',
             worker=worker.name,
             born=born,
-            before=worker.entry.born,
-            why=why,
+            before=worker.incarnation,
         )
-        worker.entry = attrs.evolve(worker.entry, born=born)
+        worker.incarnation = born
         worker.clock_read_at = None
         worker.leased_until = 0
         worker.speed_estimate.forget()
@@ -337,7 +347,7 @@
         self._is_status_stored = False
         self.incarnations += 1
         self._update_token()
-        self.listener.handle_incarnation_start(worker, why)
+        self.listener.handle_incarnation_start(worker)
 
     def _update_token(self) -> None:
         # A new incarnation has seen no fencing token yet. Once its first
--- a/tests/cluster/harness.py
+++ b/tests/cluster/harness.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import attrs
+
 from jujubebend_cluster import (
     adviceclient,
     committer,
@@ -37,8 +39,11 @@
         self.tasks = []
 
     def list_worker(self, worker, state=interfaces.WorkerState.READY):
+        """Write the entry of a worker in its present incarnation."""
         self.workers[worker.name] = worker
-        self.store.put(f'servers/{worker.name}', state.value.encode())
+        self.store.put(
+            f'servers/{worker.name}', f'{state.value} {worker.born}'.encode()
+        )
 
     def unlist_worker(self, worker):
         deletes = (f'servers/{worker.name}',)
@@ -66,7 +71,9 @@
     def _parse_worker(self, name, body):
         if name not in self.workers:
             return None
-        return self.workers[name].entry(interfaces.WorkerState(body.decode()))
+        state, born = body.decode().split()
+        entry = self.workers[name].entry(interfaces.WorkerState(state))
+        return attrs.evolve(entry, born=int(born))
 
     async def start_term(self, epoch=1):
         """Claim the leader record as an elector does and start a term."""
--- /dev/null
+++ b/tests/cluster/test_incarnations.py
@@ -0,0 +1,126 @@
+"""Workers that restart under their IDs: no run is started beside another."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from jujubebend_cluster import interfaces
+from tests import fakecluster
+from tests.cluster import harness
+
+TASK_S = 2.0
+
+
+class _WorkerWithDelayedStarts(fakecluster.Worker):
+    """Carries out lost starts just after the first status of a restart."""
+
+    async def renew_leases(self, *args, **options):
+        status = await super().renew_leases(*args, **options)
+        if self.born > 1 and self.late_starts:
+            self.apply_start(self.late_starts.pop())
+        return status
+
+
+async def _lead_with_one_usable_worker(cluster):
+    """Start a term in which only w1 gets work; return the term and workers."""
+    term = await cluster.start_term()
+    await harness.wait_until(lambda: len(term.leader.controllers) == 2)
+    first, second = cluster.workers.values()
+    cluster.list_worker(second, interfaces.WorkerState.DRAINING)
+    await asyncio.sleep(1)
+    return term, first, second
+
+
+async def _assert_completed_by(cluster, term, expected_starts):
+    await harness.wait_until(
+        lambda: harness.find_job_state(term, 'j') == 'completed'
+    )
+    starts = harness.find_starts(cluster, 'j')
+    assert [(name, run) for name, _, run in starts] == expected_starts
+
+
+def _run(scenario):
+    harness.run_scenario(
+        scenario,
+        fakecluster.Worker('w1', seconds=TASK_S),
+        fakecluster.Worker('w2', seconds=TASK_S),
+    )
+
+
+@pytest.mark.parametrize('silence_seconds', [0, 2.5])
+@pytest.mark.parametrize('entry_delay', [0, 0.1, 0.9, 4])
+def test_a_start_answered_by_a_new_incarnation_does_not_run_twice(
+    entry_delay, silence_seconds
+):
+    """Guards against releasing it as a run of the incarnation before.
+
+    The leader learns of the restart after the start, from the worker's entry
+    or its status; with the entry the worker may fall silent. Seen in review/2
+    and in the soak with seed 10.
+    """
+
+    async def scenario(cluster):
+        term, first, second = await _lead_with_one_usable_worker(cluster)
+        first.restarts_before_start = True
+        cluster.submit_job(fakecluster.job('j'))
+        await harness.wait_until(lambda: harness.find_starts(cluster, 'j'))
+        cluster.list_worker(second)
+        await asyncio.sleep(entry_delay)
+        cluster.list_worker(first)
+        first.mute = True
+        await asyncio.sleep(silence_seconds)
+        first.mute = False
+        await _assert_completed_by(cluster, term, [('w1', 1)])
+
+    _run(scenario)
+
+
+def test_a_delayed_start_after_the_first_status_of_an_incarnation_runs_once():
+    """Guards against releasing a run that the new incarnation still accepts.
+
+    A start is sent twice and answered by the incarnation before. The first
+    copy reaches the new one between its first status, which does not list the
+    run, and the renewal with the higher token.
+    """
+
+    async def scenario(cluster):
+        term, first, second = await _lead_with_one_usable_worker(cluster)
+        first.lose_starts = 1
+        cluster.submit_job(fakecluster.job('j'))
+        await harness.wait_until(lambda: harness.find_starts(cluster, 'j'))
+        cluster.list_worker(second)
+        first.crash(restart=True)
+        await _assert_completed_by(cluster, term, [('w1', 1), ('w1', 1)])
+
+    harness.run_scenario(
+        scenario,
+        _WorkerWithDelayedStarts('w1', seconds=TASK_S),
+        fakecluster.Worker('w2', seconds=TASK_S),
+    )
+
+
+@pytest.mark.parametrize('is_entry_written', [True, False])
+def test_a_restarted_worker_gets_work_once_its_entry_is_known(
+    is_entry_written,
+):
+    """Guards against starts that the new incarnation may have no room for.
+
+    A worker may return with other capacity and labels, which only its entry
+    tells.
+    """
+
+    async def scenario(cluster):
+        term, first, _ = await _lead_with_one_usable_worker(cluster)
+        first.crash(restart=True)
+        await harness.wait_until(
+            lambda: term.leader.workers.workers['w1'].incarnation == first.born
+        )
+        if is_entry_written:
+            cluster.list_worker(first)
+        cluster.submit_job(fakecluster.job('j'))
+        await asyncio.sleep(2)
+        assert bool(harness.find_starts(cluster, 'j')) is is_entry_written
+
+    _run(scenario)
--- a/tests/cluster/test_term.py
+++ b/tests/cluster/test_term.py
@@ -371,6 +371,7 @@
         await harness.wait_until(lambda: harness.find_starts(cluster, 'j'))
         token = cluster.workers['w1'].token
         cluster.workers['w1'].crash(restart=True)
+        cluster.list_worker(cluster.workers['w1'])
         await harness.wait_until(
             lambda: harness.find_job_state(term, 'j') == 'completed'
         )
--- a/tests/fakecluster.py
+++ b/tests/fakecluster.py
@@ -148,8 +148,9 @@
     ``mute`` leaves calls without an answer, and ``refuse`` refuses
     connections. ``lose_starts`` is the number of starts that go to
     ``late_starts`` without an answer, ``lose_paces`` the number of pace
-    orders to lose. ``no_ticket`` refuses starts for want of a ticket.
-    ``is_stalled`` stops the progress of all runs, ``reports_full_progress``
+    orders to lose. ``restarts_before_start`` makes the worker restart just
+    before the next start, which the new incarnation answers. ``no_ticket``
+    refuses starts for want of a ticket. ``is_stalled`` stops the progress of all runs, ``reports_full_progress``
     makes them report 100 percent, and ``fails`` makes them fail.
     ``tail_latency_s`` returns the usage that runs report.
 
@@ -168,6 +169,7 @@
     reports_full_progress: bool = False
     fails: bool = False
     lose_starts: int = 0
+    restarts_before_start: bool = False
     late_starts: list = attrs.field(factory=list)
     no_ticket: bool = False
     token: int = 0
@@ -216,6 +218,9 @@
 
     async def start(self, order):
         await self._simulate_call()
+        if self.restarts_before_start:
+            self.restarts_before_start = False
+            self.crash(restart=True)
         if self.lose_starts:
             self.lose_starts -= 1
             self.late_starts.append(order)
