A new leader releases no run by comparing its record with the worker's entry

Cause: the records named the new incarnation, which the former leader had learnt from the worker's answers, the entry the old one. _adopt_runs released every run whose recorded incarnation differed from the entry's, whichever was older. A start that a restarted worker answered fails the other way round: its record is the older one.

Recorded runs now count as running until the worker answers the new leader, or its leases have expired.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/registry.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/registry.py
@@ -114,22 +114,22 @@
         self.leader.spawn(controller.run())
 
     def _adopt_runs(self, job: jobtable.Job, worker: fleet.Worker) -> None:
+        """Take the recorded runs on a worker for running until it answers.
+
+        The worker refuses older orders from the first renewal on, since that
+        brings a higher fencing token. A run that its first status does not
+        list has ended or will never start.
+
+        The entry is no evidence: the record may be of a later incarnation, if
+        the worker answered the former leader but could not reach the store, or
+        of an earlier one, if a restarted worker answered the start.
+        """
         for group in job.groups.values():
             for task in group.placed_tasks():
-                if task.worker != worker.name:
-                    continue
-                if task.incarnation == worker.entry.born:
-                    # The worker refuses older orders from the first renewal
-                    # on, since that brings a higher fencing token. A run that
-                    # its first status does not list has ended or will never
-                    # start.
+                if task.worker == worker.name:
                     task.answered_at = self.leader.started_at
                     task.progressed_at = clock.now()
                     worker.allocate(task)
-                else:
-                    self.dispatcher.release_run(
-                        worker, task, 'its worker has a new incarnation'
-                    )
 
 
 def _update_worker(
--- a/tests/cluster/test_incarnations.py
+++ b/tests/cluster/test_incarnations.py
@@ -124,3 +124,39 @@
         assert bool(harness.find_starts(cluster, 'j')) is is_entry_written
 
     _run(scenario)
+
+
+@pytest.mark.parametrize('is_entry_stale', [True, False])
+@pytest.mark.parametrize('is_restart_known', [True, False])
+def test_a_new_leader_keeps_runs_whose_record_and_entry_differ(
+    is_restart_known, is_entry_stale
+):
+    """Guards against trusting an entry that is older than a recorded run.
+
+    A worker restarts and answers a start, then the leader is killed. The store
+    may still have the entry of the incarnation before, and the record of the
+    run names either incarnation. Seen in review/4.
+    """
+
+    async def scenario(cluster):
+        term, first, second = await _lead_with_one_usable_worker(cluster)
+        old_entry = cluster.store.data['servers/w1'].body
+        if is_restart_known:
+            first.crash(restart=True)
+            cluster.list_worker(first)
+            await harness.wait_until(
+                lambda: term.leader.workers.workers['w1'].token > 64
+            )
+        else:
+            first.restarts_before_start = True
+        cluster.submit_job(fakecluster.job('j'))
+        await harness.wait_until(lambda: harness.find_starts(cluster, 'j'))
+        await cluster.kill_leader()
+        cluster.list_worker(first)
+        if is_entry_stale:
+            cluster.store.put('servers/w1', old_entry)
+        cluster.list_worker(second)
+        term = await cluster.start_term(2)
+        await _assert_completed_by(cluster, term, [('w1', 1)])
+
+    _run(scenario)
