Keep the run of a start for the lease that a restarted worker may have granted

Cause: a lease ends at a time on the worker's clock, which starts anew with a restart. A start that reaches the new incarnation gets the longest lease, counted from its arrival, while the leader and its record for successors (LeaseBounds) counted from the last renewal of the old one. Silent from then on, the worker ran the task for up to 3 s more than the leader waited.

Each start now bounds its own lease: from its answer, or from the latest time at which it may arrive. Only runs that were started just before the silence wait longer for it.

The fake worker grants no lease beyond its longest any more, as workers do.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/leases.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/leases.py
@@ -136,7 +136,7 @@
 
 
 def _bound_lease(worker: fleet.Worker, now: float) -> float | None:
-    """Return when the leases of a silent worker have expired.
+    """Return when the leases of a silent worker and its runs have expired.
 
     Return None if the worker is not silent, runs nothing, or never answered
     this leader.
@@ -144,7 +144,11 @@
     silent_since = worker.unreached_since
     if silent_since is None or now - silent_since < SILENCE_S:
         return None
-    return worker.lease_expires_at() if worker.tasks else None
+    expires_at = worker.lease_expires_at()
+    if expires_at is None or not worker.tasks:
+        return None
+    started = (task.lease_expires_at for task in worker.tasks.values())
+    return max(expires_at, *started)
 
 
 def _decode(body: bytes, now: float) -> tuple[int, dict[str, LeaseBound]]:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/reconciler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/reconciler.py
@@ -63,17 +63,16 @@
         await self.leader.commits.flush()
         return True
 
-    def handle_incarnation_end(self, worker: fleet.Worker, why: str) -> None:
-        """Release all runs of a worker's last incarnation."""
-        lost_tasks = list(worker.tasks.values())
-        if lost_tasks:
-            logs.belief(
-                'worker_lost',
-                worker=worker.name,
-                why=why,
-                tasks=len(lost_tasks),
-            )
-        for task in lost_tasks:
+    def release_runs(
+        self, worker: fleet.Worker, tasks: list[jobtable.Task], why: str
+    ) -> None:
+        """Release runs of a worker that have certainly ended."""
+        if not tasks:
+            return
+        logs.belief(
+            'worker_lost', worker=worker.name, why=why, tasks=len(tasks)
+        )
+        for task in tasks:
             self.dispatcher.release_run(worker, task, why)
         self.leader.wake_event.set()
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
@@ -46,8 +46,10 @@
         """Apply a worker's status; return True once its ends are stored."""
         ...
 
-    def handle_incarnation_end(self, worker: fleet.Worker, why: str) -> None:
-        """Handle that all runs of the worker's last incarnation are over."""
+    def release_runs(
+        self, worker: fleet.Worker, tasks: list[jobtable.Task], why: str
+    ) -> None:
+        """Release runs of a worker that have certainly ended."""
         ...
 
     def handle_incarnation_start(self, worker: fleet.Worker) -> None:
@@ -146,8 +148,9 @@
                 checkpoint=task.checkpoint,
                 ticket=ticket,
             )
+            self._bound_start_lease(task, START_TTL_S)
             try:
-                return await self.calls.start(order)
+                order_result = await self.calls.start(order)
             except errors.UnreachableError as exc:
                 logs.run_decision(
                     'start_unanswered',
@@ -156,6 +159,10 @@
                     self.worker.name,
                     why=str(exc),
                 )
+                continue
+            if task.is_current_run(run):
+                self._bound_start_lease(task, 0)
+            return order_result
         return None
 
     async def stop_run(self, task: jobtable.Task) -> None:
@@ -253,6 +260,15 @@
             return
         await self._handle_status(answer, sent_at)
 
+    def _bound_start_lease(self, task: jobtable.Task, delay: float) -> None:
+        """Note that a start arrives within ``delay`` seconds.
+
+        If the worker has restarted, the end of the lease in the order lies far
+        ahead on its new clock, and the worker grants the longest lease.
+        """
+        lease_s = self.lease / fleet.SLOWEST_CLOCK_RATE + fleet.LEASE_MARGIN_S
+        task.lease_expires_at = clock.now() + delay + lease_s
+
     def _extend_lease(self, seconds: float) -> float | None:
         """Return the end of a new lease, None if none may be granted."""
         if not self.listener.may_extend_lease(self.worker):
@@ -303,9 +319,14 @@
             has_expired = now > self.former_leases_expire_at
         else:
             has_expired = worker.is_lease_expired(now)
-        if has_expired and worker.tasks:
-            self.listener.handle_incarnation_end(
-                worker, 'every lease granted to it has expired'
+        if has_expired:
+            expired = [
+                task
+                for task in worker.tasks.values()
+                if now > task.lease_expires_at
+            ]
+            self.listener.release_runs(
+                worker, expired, 'every lease granted to it has expired'
             )
         await asyncio.sleep(RETRY_DELAY_S * random.uniform(0.5, 1))
 
@@ -316,8 +337,10 @@
             self.listener.handle_fencing(self.worker)
         if order_result is interfaces.OrderResult.OTHER_INCARNATION:
             self.worker.is_reachable = False
-            self.listener.handle_incarnation_end(
-                self.worker, 'another worker answers at its address'
+            self.listener.release_runs(
+                self.worker,
+                list(self.worker.tasks.values()),
+                'another worker answers at its address',
             )
         self._mark_unreached(order_result.value)
         await asyncio.sleep(RETRY_DELAY_S)
--- a/tests/cluster/test_incarnations.py
+++ b/tests/cluster/test_incarnations.py
@@ -101,6 +101,33 @@
     )
 
 
+@pytest.mark.parametrize('arrival_delay', [0, 0.5, 2.5])
+def test_a_start_carried_out_after_a_restart_keeps_its_lease(arrival_delay):
+    """Guards against releasing its run by the clock before the restart.
+
+    A start reaches the new incarnation, which grants the longest lease, and
+    the worker is silent from then on.
+    """
+
+    async def scenario(cluster):
+        _, first, second = await _lead_with_one_usable_worker(cluster)
+        first.seconds = 1_000
+        first.lose_starts = 1
+        cluster.submit_job(fakecluster.job('j'))
+        await harness.wait_until(lambda: first.late_starts)
+        cluster.list_worker(second)
+        first.crash(restart=True)
+        first.mute = True
+        await asyncio.sleep(arrival_delay)
+        first.apply_start(first.late_starts.pop())
+        await harness.wait_until(lambda: second.started)
+        first._end_due_runs()
+        _, _, restarted_at = second.start_times[0]
+        assert first.ended_at[first.started[0]] <= restarted_at
+
+    _run(scenario)
+
+
 @pytest.mark.parametrize('is_entry_written', [True, False])
 def test_a_restarted_worker_gets_work_once_its_entry_is_known(
     is_entry_written,
--- a/tests/fakecluster.py
+++ b/tests/fakecluster.py
@@ -13,6 +13,7 @@
 CALL_LATENCY_S = 0.002
 STOP_LATENCY_S = 0.5
 CALL_TIMEOUT_S = 1.0  # until a call without an answer fails
+MAX_LEASE_S = 6.0
 
 
 @attrs.define(eq=False)
@@ -243,7 +244,9 @@
             return interfaces.OrderResult.SUPERSEDED
         if self.no_ticket:
             return interfaces.OrderResult.NO_TICKET
-        self.leased_until = max(self.leased_until, order.until)
+        self.leased_until = max(
+            self.leased_until, min(order.until, self.clock() + MAX_LEASE_S)
+        )
         now = clock.now()
         self.highest_runs[order.task] = order.run
         self.runs[order.task] = _Run(order, now + self.seconds, now)
@@ -282,7 +285,7 @@
         self.token = token
         if until is not None:
             self.leased_until = max(
-                self.leased_until, min(until, self.clock() + 6)
+                self.leased_until, min(until, self.clock() + MAX_LEASE_S)
             )
         self.acknowledged = max(self.acknowledged, last_end)
         deadline = clock.now() + wait
