One unusable worker entry no longer ends every term of the leader

Cause: the adapter accepted any integer as a port, httpclient let the OverflowError of the connect through, and an unexpected error of a background task ends the term; the next leader read the same entry.

The client reports what cannot be built or sent as NotSentError. An unexpected error in a call to one worker counts as no answer of that worker.

A test of the client left a connection open, and pytest ended with a SystemError of the interpreter when that file ran alone; the test closes it now.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/registry.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/registry.py
@@ -84,6 +84,8 @@
             entry = self.leader.context.parse_worker(name, item.body)
         controller = self.leader.controllers.get(name)
         if entry is None:
+            if item is not None and item.body is not None:
+                logs.belief('worker_entry_malformed', worker=name)
             if controller is not None and controller.worker.is_listed:
                 controller.worker.is_listed = False
                 controller.worker.unlisted_at = clock.now()
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections import abc
 from typing import Protocol
@@ -150,7 +151,8 @@
             )
             self._bound_start_lease(task, START_TTL_S)
             try:
-                order_result = await self.calls.start(order)
+                with _unanswered_on_error():
+                    order_result = await self.calls.start(order)
             except errors.UnreachableError as exc:
                 logs.run_decision(
                     'start_unanswered',
@@ -173,9 +175,10 @@
                 await asyncio.sleep(STOP_RETRY_DELAY_S)
                 continue
             try:
-                order_result = await self.calls.stop(
-                    task.name, run, worker.token
-                )
+                with _unanswered_on_error():
+                    order_result = await self.calls.stop(
+                        task.name, run, worker.token
+                    )
             except errors.UnreachableError:
                 await asyncio.sleep(STOP_RETRY_DELAY_S)
                 continue
@@ -190,9 +193,10 @@
         """Set the pace of a run; the caller retries if it is not accepted."""
         run = task.run
         try:
-            order_result = await self.calls.pace(
-                task.name, run, percent, self.worker.token
-            )
+            with _unanswered_on_error():
+                order_result = await self.calls.pace(
+                    task.name, run, percent, self.worker.token
+                )
         except errors.UnreachableError as exc:
             logs.run_decision(
                 'pace_unanswered',
@@ -208,9 +212,10 @@
     async def stop_unknown_run(self, active_run: interfaces.ActiveRun) -> None:
         """Stop a run that is not in the job table."""
         try:
-            await self.calls.stop(
-                active_run.task, active_run.run, self.worker.token
-            )
+            with _unanswered_on_error():
+                await self.calls.stop(
+                    active_run.task, active_run.run, self.worker.token
+                )
         except errors.UnreachableError as exc:
             logs.run_decision(
                 'stop_unanswered',
@@ -243,13 +248,14 @@
             or sent_at - self._runs_listed_at > RUN_LIST_INTERVAL_S
         )
         try:
-            answer = await self.calls.renew_leases(
-                worker.token,
-                self.acknowledged_end,
-                until,
-                wait_s,
-                list_runs=should_list_runs,
-            )
+            with _unanswered_on_error():
+                answer = await self.calls.renew_leases(
+                    worker.token,
+                    self.acknowledged_end,
+                    until,
+                    wait_s,
+                    list_runs=should_list_runs,
+                )
         except errors.UnreachableError as exc:
             # A refused connection is no proof that the worker is dead: a
             # broken network path may refuse too.
@@ -380,6 +386,22 @@
         self.worker.token = self.epoch * TOKENS_PER_EPOCH + incarnation
 
 
+@contextlib.contextmanager
+def _unanswered_on_error() -> abc.Generator[None, None, None]:
+    """Turn an unexpected error of a call into a call without an answer.
+
+    What one worker's entry or answers can cause must not end the term, which
+    would stop the work on all workers.
+    """
+    try:
+        yield
+    except errors.UnreachableError:
+        raise
+    except Exception as exc:
+        logs.lifecycle('error', what=repr(exc))
+        raise errors.UnreachableError(f'the call failed: {exc!r}') from exc
+
+
 def _log_handler_failure(handler_task: asyncio.Future) -> None:
     if handler_task.cancelled():
         return
--- a/packages/jujubebend-http/src/jujubebend_http/httpclient.py
+++ b/packages/jujubebend-http/src/jujubebend_http/httpclient.py
@@ -75,14 +75,13 @@
         with each part of the reply that arrives.
         """
         conn: _Connection | None = None
+        head = self._build_head(method, target, body, headers)
         try:
             async with asyncio.timeout(timeout) as deadline, self._call_slots:
                 conn = await self._acquire_connection()
                 conn.deadline = deadline if is_idle_timeout else None
                 conn.timeout_seconds = timeout
-                return await self._exchange_messages(
-                    conn, method, target, body, headers
-                )
+                return await self._exchange_messages(conn, head, body)
         except (TimeoutError, OSError, h11.ProtocolError) as exc:
             cause = f'{type(exc).__name__} {exc}'.strip()
             if isinstance(exc, TimeoutError):
@@ -112,14 +111,12 @@
     async def _exchange_messages(
         self,
         conn: _Connection,
-        method: str,
-        target: str,
+        head: h11.Request,
         body: bytes,
-        headers: dict[str, str] | None,
     ) -> httpmessage.Reply:
         is_reusable = False
         try:
-            await self._send_request(conn, method, target, body, headers)
+            await _send_request(conn, head, body)
             reply = await _receive_reply(conn)
             is_reusable = conn.protocol.our_state is h11.DONE
             is_reusable = is_reusable and conn.protocol.their_state is h11.DONE
@@ -147,32 +144,43 @@
             raise errors.RefusedConnectionError(
                 f'{self.address}: {exc}'
             ) from exc
-        except OSError as exc:
+        except (OSError, ValueError, OverflowError) as exc:
+            # An address may come from another process: a port out of range
+            # and a host that is no name are reported by these other errors.
             raise errors.NotSentError(f'{self.address}: {exc}') from exc
         return _Connection(reader, writer, h11.Connection(h11.CLIENT))
 
-    async def _send_request(
+    def _build_head(
         self,
-        conn: _Connection,
         method: str,
         target: str,
         body: bytes,
         headers: dict[str, str] | None,
-    ) -> None:
+    ) -> h11.Request:
         all_headers = {
             'host': self.address,
             'content-length': str(len(body)),
             **(headers or {}),
         }
-        head = h11.Request(
-            method=method, target=target, headers=list(all_headers.items())
-        )
-        encoded = conn.protocol.send(head)
-        if body:
-            encoded += conn.protocol.send(h11.Data(data=body))
-        encoded += conn.protocol.send(h11.EndOfMessage())
-        conn.writer.write(encoded)
-        await conn.writer.drain()
+        try:
+            return h11.Request(
+                method=method, target=target, headers=list(all_headers.items())
+            )
+        except (ValueError, h11.LocalProtocolError) as exc:
+            raise errors.NotSentError(
+                f'{method} {self.address}{target}: {exc}'
+            ) from exc
+
+
+async def _send_request(
+    conn: _Connection, head: h11.Request, body: bytes
+) -> None:
+    encoded = conn.protocol.send(head)
+    if body:
+        encoded += conn.protocol.send(h11.Data(data=body))
+    encoded += conn.protocol.send(h11.EndOfMessage())
+    conn.writer.write(encoded)
+    await conn.writer.drain()
 
 
 async def _receive_reply(conn: _Connection) -> httpmessage.Reply:
--- a/tests/adapter/test_formats.py
+++ b/tests/adapter/test_formats.py
@@ -56,6 +56,12 @@
         {'state': 'asleep'},
         {'address': 'nowhere'},
         {'address': 7},
+        {'address': '127.0.0.1:70000'},
+        {'address': '127.0.0.1:0'},
+        {'address': '127.0.0.1:-1'},
+        {'address': ':80'},
+        {'address': 'a..b:80'},
+        {'address': 'workers.example:80'},
         {'capacity': None},
         {'capacity': {'cpu': 'much'}},
         {'labels': 5},
@@ -87,6 +93,11 @@
     assert workers.parse_worker_entry('i-1', body) is None
 
 
+@pytest.mark.parametrize('worker', ['i-\xe9', 'i\r\nx: y', 'i-\u2603'])
+def test_worker_entry_whose_id_fits_in_no_header_is_ignored(worker):
+    assert workers.parse_worker_entry(worker, orjson.dumps(ENTRY)) is None
+
+
 def test_formatted_task_name_is_parsed_back():
     name = jobspec.TaskName('5c0e7a21d94b36f8', 0, 1, 17)
     assert tasknames.format_task_name(name) == '5c0e7a21d94b36f8.0.1.17'
--- a/tests/cluster/test_registry.py
+++ b/tests/cluster/test_registry.py
@@ -55,3 +55,29 @@
         assert not late_starts
 
     harness.run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    'exc', [OverflowError('port'), ValueError('ID'), RecursionError('depth')]
+)
+def test_an_error_in_calls_to_one_worker_does_not_stop_the_others(exc):
+    """Guards against one entry of another writer that ends every term.
+
+    No call to the worker that it names can be made, and the errors are none
+    that calls may raise. Seen in review/1.
+    """
+
+    async def scenario(cluster):
+        term = await cluster.start_term()
+        await harness.wait_until(lambda: len(term.leader.controllers) == 2)
+        unusable = fakecluster.Worker('w3')
+        cluster.list_worker(unusable)
+        unusable.call_error = exc
+        await asyncio.sleep(1)
+        cluster.submit_job(fakecluster.job('j'))
+        await harness.wait_until(
+            lambda: harness.find_job_state(term, 'j') == 'completed'
+        )
+        assert not term.leader.ended.done()
+
+    harness.run_scenario(scenario)
--- a/tests/fakecluster.py
+++ b/tests/fakecluster.py
@@ -146,8 +146,8 @@
 class Worker:
     """A worker whose tasks take ``seconds`` each.
 
-    ``mute`` leaves calls without an answer, and ``refuse`` refuses
-    connections. ``lose_starts`` is the number of starts that go to
+    ``mute`` leaves calls without an answer, ``refuse`` refuses connections,
+    and calls raise ``call_error`` if it is set. ``lose_starts`` is the number of starts that go to
     ``late_starts`` without an answer, ``lose_paces`` the number of pace
     orders to lose. ``restarts_before_start`` makes the worker restart just
     before the next start, which the new incarnation answers. ``no_ticket``
@@ -166,6 +166,7 @@
     born: int = 1
     mute: bool = False
     refuse: bool = False
+    call_error: Exception | None = None
     is_stalled: bool = False
     reports_full_progress: bool = False
     fails: bool = False
@@ -355,6 +356,8 @@
         await asyncio.sleep(CALL_LATENCY_S)
         if self.refuse:
             raise errors.RefusedConnectionError(self.name)
+        if self.call_error is not None:
+            raise self.call_error
         if self.mute:
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise errors.UnreachableError('no answer')
--- a/tests/http/test_httpclient.py
+++ b/tests/http/test_httpclient.py
@@ -1,4 +1,4 @@
-"""Tests of the HTTP client's timeouts."""
+"""Tests of the HTTP client's timeouts and of requests that cannot be sent."""
 
 from __future__ import annotations
 
@@ -17,11 +17,13 @@
     """Send a reply in chunks that together take twice the timeout."""
     await reader.readuntil(b'\r\n\r\n')
     writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\n')
-    for _ in range(CHUNK_COUNT):
-        await asyncio.sleep(TIMEOUT_SECONDS * 2 / CHUNK_COUNT)
-        writer.write(b'x')
-        await writer.drain()
-    writer.close()
+    try:
+        for _ in range(CHUNK_COUNT):
+            await asyncio.sleep(TIMEOUT_SECONDS * 2 / CHUNK_COUNT)
+            writer.write(b'x')
+            await writer.drain()
+    finally:
+        writer.close()
 
 
 @pytest.mark.parametrize('is_idle_timeout', [True, False])
@@ -49,3 +51,36 @@
         server.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ('address', 'headers'),
+    [
+        ('127.0.0.1:70000', {}),
+        ('127.0.0.1:-1', {}),
+        ('127.0.0.1:eighty', {}),
+        ('127.0.0.1', {}),
+        ('a..b:80', {}),
+        ('\0:80', {}),
+        ('127.0.0.1:{port}', {'x-name': 'i-\xe9\u2603'}),
+        ('127.0.0.1:{port}', {'x-name': 'i\r\nx: y'}),
+    ],
+)
+def test_a_request_that_cannot_be_sent_raises_the_error_of_the_client(
+    address, headers
+):
+    """Guards against errors of the standard library that no caller expects.
+
+    An address or a header may come from another process. Such an error ended
+    each term of the leader in review/1.
+    """
+
+    async def main():
+        server = await asyncio.start_server(_reply_slowly, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        client = httpclient.Client(address.format(port=port))
+        with pytest.raises(errors.NotSentError):
+            await client.call('GET', '/', timeout=1, headers=headers)
+        server.close()
+
+    asyncio.run(main())
