A gang that can never be placed reserves no workers

Cause: _may_ever_fit took each gang of a queue without advice for one that may fit, since no worker had been queried for it, and _extend_reservation then reserved workers until all tasks had room, which they never had. The same place counted processors only, and could reserve a rack that is too small for a gang of one rack.

A gang now reserves only among sets of workers that could hold all its tasks if nothing else ran, in every dimension and within its limit for one worker.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/placement.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/placement.py
@@ -380,6 +380,21 @@
     return list(by_rack.values())
 
 
+def count_when_empty(request: PlacementRequest, worker: fleet.Worker) -> int:
+    """Return how many of a group's tasks fit if nothing else runs there."""
+    step = request.step
+    count = worker.count_when_empty(step.demand)
+    return min(count, step.per_worker_limit or count)
+
+
+def may_hold(
+    request: PlacementRequest, workers: abc.Iterable[fleet.Worker]
+) -> bool:
+    """Return whether all tasks of a group fit if nothing else runs."""
+    room = sum(count_when_empty(request, worker) for worker in workers)
+    return room >= len(request.group.tasks)
+
+
 def _fill_workers(
     workers: abc.Sequence[fleet.Worker],
     counts: abc.Mapping[str, int],
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -146,19 +146,18 @@
     ) -> bool:
         """Return whether a gang would fit if nothing else ran.
 
-        One that is approved on too few workers must not reserve those: it
-        would keep other gangs from them for nothing.
+        One that never fits, or that is approved on too few workers, must not
+        reserve any: it would keep other work from them for nothing. Workers
+        that advice has not been requested on may still be approved.
         """
-        if not request.step.gang or self._unqueried_workers(request):
+        if not request.step.gang:
             return True
-        task_count = len(request.group.tasks)
+        candidates = approved
+        if request.queue.advice is not None:
+            candidates = [*approved, *self._unqueried_workers(request)]
         return any(
-            sum(
-                worker.count_when_empty(request.step.demand)
-                for worker in members
-            )
-            >= task_count
-            for members in placement.partition_by_rack(request, approved)
+            placement.may_hold(request, members)
+            for members in placement.partition_by_rack(request, candidates)
         )
 
     def _count_workers_to_query(
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/preemption.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/preemption.py
@@ -59,7 +59,7 @@
     """
     offers = _make_offers(placer, request, approved)
     best = Reservation()
-    for members in placer.partition(request, approved):
+    for members in _sets_to_reserve(placer, request, approved):
         reservation = _choose_workers(placer, request, members, offers)
         if reservation.count > best.count or not best.workers:
             best = reservation
@@ -89,6 +89,22 @@
     return best
 
 
+def _sets_to_reserve(
+    placer: placement.Placer,
+    request: placement.PlacementRequest,
+    approved: abc.Sequence[fleet.Worker],
+) -> list[abc.Sequence[fleet.Worker]]:
+    """Return the sets of workers to choose from, the best first.
+
+    They are the sets that hold all tasks once they are empty. If there is
+    none, further workers may be approved.
+    """
+    sets = list(placer.partition(request, approved))
+    return [
+        members for members in sets if placement.may_hold(request, members)
+    ] or sets
+
+
 def _has_valid_tickets(
     placer: placement.Placer,
     request: placement.PlacementRequest,
@@ -152,14 +168,15 @@
     offers: list[_Offer],
     reservation: Reservation,
 ) -> None:
-    cpu_per_task = max(1, request.step.demand.cpu_milli)
     missing = request.group.waiting_count - reservation.count
     offers.sort(key=lambda offer: offer.worker.used_cpu)
     for offer in offers:
         if missing <= 0:
             return
-        fits_when_empty = offer.worker.entry.capacity.cpu_milli // cpu_per_task
-        missing -= fits_when_empty - offer.count
+        gained = placement.count_when_empty(request, offer.worker) - offer.count
+        if gained <= 0:
+            continue
+        missing -= gained
         if offer.worker not in reservation.workers:
             reservation.workers.append(offer.worker)
 
--- a/tests/cluster/test_planner.py
+++ b/tests/cluster/test_planner.py
@@ -743,3 +743,77 @@
         assert _plan(worker_fleet, (ADVISED, small)).placements
 
     _run_check(check)
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'demand': jobspec.Demand(64_000, 100)},
+        {'demand': jobspec.Demand(1_000, 100_000)},
+        {'demand': jobspec.Demand(1_000, 100, 1)},
+        {'tasks': 9},
+        {'per_worker_limit': 1, 'tasks': 5},
+    ],
+)
+@pytest.mark.parametrize('queue', [URGENT, attrs.evolve(ADVISED, rank=0)])
+def test_a_gang_that_fits_on_no_workers_reserves_none(queue, changes):
+    """Guards against one such gang that keeps lower ranks off all workers.
+
+    Its tasks ask for more than any worker has, or it has more of them than
+    the empty service can hold; the queue may be without advice. Seen in
+    review/3.
+    """
+
+    def check():
+        worker_fleet = _fleet(4)
+        step = attrs.evolve(jobspec.Step(2, LARGE, gang=True), **changes)
+        gang = _waiting_group('never', step)
+        gang.tickets.approvals['w0'] = ('t', 10_000)
+        gang.tickets.queried_workers.add('w0')
+        small = _group('s', jobspec.Step(8, LARGE))
+        plan = _plan(worker_fleet, (queue, gang), (PATIENT, small))
+        assert _used_workers(plan) == set(worker_fleet.workers)
+
+    _run_check(check)
+
+
+def test_a_gang_of_one_rack_reserves_none_that_cannot_hold_it():
+    """Guards against a reservation that never leads to a start.
+
+    The rack with the most room now is too small for the gang.
+    """
+
+    def check():
+        worker_fleet = _fleet(5)
+        workers = list(worker_fleet.workers.values())
+        for worker in workers[:3]:
+            worker.entry = attrs.evolve(worker.entry, rack='r2')
+            worker.used_cpu = 32_000
+        gang = _waiting_group(
+            'g', jobspec.Step(6, LARGE, gang=True, same_rack=True)
+        )
+        small = _group('s', jobspec.Step(4, LARGE))
+        plan = _plan(worker_fleet, (URGENT, gang), (PATIENT, small))
+        assert _used_workers(plan) == {'w3', 'w4'}
+
+    _run_check(check)
+
+
+def test_a_reservation_leaves_out_workers_on_which_no_task_fits():
+    """Guards against idle workers that a gang can never use."""
+
+    def check():
+        worker_fleet = _fleet(4)
+        for worker in worker_fleet.workers.values():
+            worker.used_cpu = 16_000
+        small_worker = worker_fleet.workers['w3']
+        small_worker.entry = attrs.evolve(
+            small_worker.entry, capacity=jobspec.Demand(32_000, 50)
+        )
+        small_worker.used_cpu = 0
+        gang = _waiting_group('g', jobspec.Step(6, LARGE, gang=True))
+        small = _group('s', jobspec.Step(1, jobspec.Demand(1_000, 10)))
+        plan = _plan(worker_fleet, (URGENT, gang), (PATIENT, small))
+        assert _used_workers(plan) == {'w3'}
+
+    _run_check(check)
