Odd worker entries: deep nesting and impossible numbers name no worker to use

JSON nested 1,000 deep is within the decoder's limit, but describing such a value exceeds the interpreter's recursion limit, and RecursionError was not among the errors of decoding: the leader's term ended. A capacity of 2^63 - 1 was taken for a worker's.

RecursionError is now a decoding error for every decoder, and values are described by their beginning.

--- a/packages/jujubebend-standin/src/jujubebend_standin/emulator/kv.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/emulator/kv.py
@@ -72,7 +72,11 @@
 
     def put(self, key: str, document: object) -> None:
         """Write a key on behalf of the platform."""
-        encoded_value = base64.b64encode(orjson.dumps(document)).decode()
+        self.put_bytes(key, orjson.dumps(document))
+
+    def put_bytes(self, key: str, body: bytes) -> None:
+        """Write a key on behalf of a writer that may write anything."""
+        encoded_value = base64.b64encode(body).decode()
         self._apply_changes([{'key': key, 'value': encoded_value}], [])
 
     def delete(self, key: str) -> None:
--- a/packages/jujubebend/src/jujubebend/decoding.py
+++ b/packages/jujubebend/src/jujubebend/decoding.py
@@ -1,8 +1,8 @@
 """Decoding of messages that another process may have damaged.
 
 A message from outside can hold anything: fields that are missing or of another
-type, huge numbers, bytes that are no JSON. Whoever decodes one does so in
-``reply_from``, so that callers see a call without a usable answer instead of
+type, huge numbers, deep nesting, bytes that are no JSON. Whoever decodes one does
+so in ``reply_from``, so that callers see a call without a usable answer instead of
 an arbitrary exception:
 
     with decoding.reply_from('the advice service'):
@@ -14,6 +14,7 @@
 
 import contextlib
 import math
+import reprlib
 from collections import abc
 
 from jujubebend import errors
@@ -25,11 +26,14 @@
     LookupError,
     AttributeError,
     ArithmeticError,
+    # Raised while a deeply nested value is described.
+    RecursionError,
     errors.InvalidInputError,
 )
 # Largest magnitude of an integer in a message: JSON encoders and the fields of
 # records hold 64 bits.
 MAX_INT = 0x7FFFFFFFFFFFFFFF
+MAX_DESCRIPTION_CHARS = 300  # of an exception, which may quote a whole message
 
 
 @contextlib.contextmanager
@@ -45,8 +49,8 @@
 
 
 def describe(exc: Exception) -> str:
-    """Return the type and the text of an exception."""
-    return f'{type(exc).__name__}: {exc}'
+    """Return the type and the beginning of the text of an exception."""
+    return f'{type(exc).__name__}: {exc}'[:MAX_DESCRIPTION_CHARS]
 
 
 def damaged_record(record: str, exc: Exception) -> errors.InvalidInputError:
@@ -60,7 +64,7 @@
 def to_int(candidate: object) -> int:
     """Return an integer of at most 64 bits; raises ``TypeError`` otherwise."""
     if isinstance(candidate, bool) or not isinstance(candidate, int):
-        raise TypeError(f'{candidate!r} is not an integer')
+        raise TypeError(f'{reprlib.repr(candidate)} is not an integer')
     if abs(candidate) > MAX_INT:
         raise TypeError(f'{candidate} has more than 64 bits')
     return candidate
@@ -77,7 +81,7 @@
 def to_number(candidate: object) -> float:
     """Return a finite number; raises ``TypeError`` otherwise."""
     if isinstance(candidate, bool) or not isinstance(candidate, (int, float)):
-        raise TypeError(f'{candidate!r} is not a number')
+        raise TypeError(f'{reprlib.repr(candidate)} is not a number')
     if not math.isfinite(candidate) or abs(candidate) > MAX_INT:
         raise TypeError(f'{candidate!r} is out of range')
     return candidate
@@ -86,5 +90,5 @@
 def to_text(candidate: object) -> str:
     """Return a string; raises ``TypeError`` otherwise."""
     if not isinstance(candidate, str):
-        raise TypeError(f'{candidate!r} is not a string')
+        raise TypeError(f'{reprlib.repr(candidate)} is not a string')
     return candidate
--- a/properties/test_messages.py
+++ b/properties/test_messages.py
@@ -1,7 +1,8 @@
 """Malformed messages of every peer of the daemon.
 
 Valid messages are damaged at random: fields removed or replaced by values of
-any type, bodies cut short or corrupted. Each decoder must return a value or
+any type, also deeply nested ones and numbers that no machine type holds, bodies
+cut short or corrupted. Each decoder must return a value or
 raise one of the project's errors; any other exception would end the task that
 reads the messages, and with it the leader's term or the whole daemon.
 """
@@ -43,6 +44,13 @@
 from jujubebend_http import httpclient, httpmessage
 from tests import fakecluster
 
+# Stand for JSON text that ``orjson.dumps`` does not write. Text nested as deeply
+# as the JSON decoder allows exceeds the recursion limit of the interpreter.
+RAW_TEXTS = {
+    '@deep': b'[' * 1000 + b']' * 1000,
+    '@infinite': b'1e400',
+    '@long': b'9' * 5000,
+}
 SCALARS = strategies.one_of(
     strategies.none(),
     strategies.booleans(),
@@ -50,6 +58,7 @@
     strategies.floats(),
     strategies.text(max_size=12),
     strategies.sampled_from((1e300, 2**63, -1, '0', '1.5', 'a:b', [], {})),
+    strategies.sampled_from(tuple(RAW_TEXTS)),
 )
 TREES = strategies.recursive(
     SCALARS,
@@ -143,9 +152,12 @@
 
 def _dumps(tree):
     try:
-        return orjson.dumps(tree)
+        body = orjson.dumps(tree)
     except TypeError:  # an integer of more than 64 bits
-        return repr(tree).replace("'", '"').encode()
+        body = repr(tree).replace("'", '"').encode()
+    for name, raw_text in RAW_TEXTS.items():
+        body = body.replace(f'"{name}"'.encode(), raw_text)
+    return body
 
 
 def _replying(body, status=200):
--- a/tests/adapter/test_formats.py
+++ b/tests/adapter/test_formats.py
@@ -33,6 +33,15 @@
     'sequence': 4,
     'born': 1788,
 }
+USED_FIELDS = frozenset((
+    'service',
+    'address',
+    'zone',
+    'state',
+    'capacity',
+    'labels',
+    'born',
+))
 
 
 def test_worker_entry_is_parsed():
@@ -66,6 +75,9 @@
         {'capacity': {'cpu': 'much'}},
         {'labels': 5},
         {'labels': [1, 2]},
+        {'labels': 'a'},
+        {'labels': {'a': 1}},
+        {'zone': 7},
         {'service': None},
         {'born': 1.5},
         {'born': True},
@@ -77,7 +89,8 @@
 
 
 @pytest.mark.parametrize(
-    'missing_field', ['service', 'address', 'state', 'capacity']
+    'missing_field',
+    ['service', 'address', 'state', 'capacity', 'labels', 'zone', 'born'],
 )
 def test_worker_entry_without_a_field_is_ignored(missing_field):
     document = {
@@ -93,6 +106,41 @@
     assert workers.parse_worker_entry('i-1', body) is None
 
 
+NESTED = b'[' * 1000 + b']' * 1000  # the decoder's limit is 1024
+
+
+@pytest.mark.parametrize('field', ['extra', *ENTRY])
+@pytest.mark.parametrize(
+    'raw_text',
+    [NESTED, NESTED * 3, b'1e400', b'1e300', b'9' * 30, b'9' * 5000, b'-1'],
+    ids=[
+        'nested',
+        'invalid',
+        'infinite',
+        'large',
+        'long',
+        'longer',
+        'negative',
+    ],
+)
+def test_an_odd_worker_entry_raises_nothing(field, raw_text):
+    """Guards against an entry that ends the reader of all entries.
+
+    Describing a deeply nested field exceeded the interpreter's recursion
+    limit, and that error ended the leader's term.
+    """
+    body = orjson.dumps(ENTRY | {field: '@'}).replace(b'"@"', raw_text)
+    entry = workers.parse_worker_entry('i-1', body)
+    assert entry is None or field not in USED_FIELDS
+
+
+@pytest.mark.parametrize('resource', ['cpu', 'mem_mb', 'gpu'])
+def test_worker_entry_with_an_impossible_capacity_is_ignored(resource):
+    capacity = ENTRY['capacity'] | {resource: 2**63 - 1}
+    body = orjson.dumps(ENTRY | {'capacity': capacity})
+    assert workers.parse_worker_entry('i-1', body) is None
+
+
 @pytest.mark.parametrize('worker', ['i-\xe9', 'i\r\nx: y', 'i-\u2603'])
 def test_worker_entry_whose_id_fits_in_no_header_is_ignored(worker):
     assert workers.parse_worker_entry(worker, orjson.dumps(ENTRY)) is None
--- a/tests/emulator/test_localcluster.py
+++ b/tests/emulator/test_localcluster.py
@@ -1,4 +1,4 @@
-"""Real daemons on the emulated platform: maintenance waves, operator CLI."""
+"""Real daemons on the emulated platform: waves, operator CLI, odd entries."""
 
 from __future__ import annotations
 
@@ -91,6 +91,66 @@
     asyncio.run(main())
 
 
+def _odd_entries():
+    """Yield entries of another writer, which names no worker to use."""
+    entry = {
+        'service': 'svc',
+        'address': '127.0.0.1:9',
+        'zone': 'z',
+        'state': 'ready',
+        'capacity': {'cpu': 8_000, 'mem_mb': 1_000, 'gpu': 0},
+        'labels': ['a', 'r1'],
+        'born': 1,
+    }
+    nested = b'[' * 1000 + b']' * 1000
+    for field, raw_text in (
+        ('zone', nested),
+        ('born', nested),
+        ('labels', nested),
+        ('capacity', nested),
+        ('born', b'1e400'),
+        ('zone', b'9' * 5000),
+        ('capacity', b'{"cpu":9223372036854775807}'),
+        ('address', b'"127.0.0.1:70000"'),
+        ('address', b'"a..b:80"'),
+        ('state', b'"asleep"'),
+    ):
+        yield orjson.dumps(entry | {field: '@'}).replace(b'"@"', raw_text)
+    yield orjson.dumps(entry)[:-5]
+    yield b'\xff\xfe\x00'
+    yield b''
+
+
+def test_odd_worker_entries_stop_no_daemon_and_hide_no_worker(tmp_path):
+    """Guards against readers of the entries that end or stop following them.
+
+    Jobs are served with the odd entries in place, and a worker that registers
+    after them is used.
+    """
+
+    async def main():
+        async with _run_cluster(tmp_path, 2, 1) as (cluster, load):
+            for number, body in enumerate(_odd_entries()):
+                cluster.store.put_bytes(f'servers/odd-{number}', body)
+                await asyncio.sleep(0.05)
+            cluster.store.put('servers/i-\xe9\u2603', {})
+            added = await cluster._add_worker(8_000)
+            await asyncio.sleep(1)
+            async with asyncio.timeout(COMPLETION_LIMIT_SECONDS):
+                for _ in range(4):
+                    await load.submit_job(4, 4_000, 0.3)
+                await load.wait_until_ended()
+            assert all(job.state == 'completed' for job in load.jobs.values())
+            assert added.runs
+            assert all(
+                host.process.returncode is None for host in cluster.hosts
+            )
+            logs = ''.join(host.log_file.read_text() for host in cluster.hosts)
+            assert '"deposed"' not in logs
+
+    asyncio.run(main())
+
+
 def test_hosts_of_a_large_cluster_get_ports_of_their_own():
     count = localcluster.PORTS_PER_HOST
     taken = set()
