Embedded default: one odd entry of the host list hides no other host

The list was structured as a whole: one entry with a missing field, or with a deeply nested value, raised an error that follow_hosts does not handle, and the task that follows the list ended.

Each entry is now decoded by itself, strictly; one that cannot be is logged and left out, and a list that is no list raises an error of the project.

--- a/packages/jujubebend-platform/src/jujubebend_platform/hostlist.py
+++ b/packages/jujubebend-platform/src/jujubebend_platform/hostlist.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import http
+import reprlib
 import typing
 
 import attrs
-import cattrs
+import eliot
 
-from jujubebend import errors
+from jujubebend import decoding, errors
 from jujubebend_http import httpclient
 
 CALL_TIMEOUT_SECONDS = 2.0
@@ -94,7 +95,8 @@
             raise errors.UnreachableError(
                 f'the host list service answered {reply.status}, expected 200',
             )
-        return from_json(reply.json())
+        with decoding.reply_from('the host list service'):
+            return from_json(reply.json())
 
     async def close(self) -> None:
         """Close the connections."""
@@ -102,8 +104,35 @@
 
 
 def from_json(document: dict) -> HostList:
-    """Return the host list decoded from its JSON form."""
-    return cattrs.structure(document, HostList)
+    """Return the host list decoded from its JSON form.
+
+    An entry that cannot be decoded is logged and left out. Raises one of
+    ``decoding.DECODE_ERRORS`` if the list itself is malformed.
+    """
+    revision = decoding.to_count(document['revision'])
+    hosts = []
+    for entry in document['hosts']:
+        try:
+            hosts.append(_to_host(entry))
+        except decoding.DECODE_ERRORS as exc:
+            eliot.log_message(
+                'hosts:malformed-entry', why=decoding.describe(exc)
+            )
+    return HostList(revision, hosts)
+
+
+def _to_host(entry: dict) -> Host:
+    state = decoding.to_text(entry.get('state', LIVE))
+    if state not in {LIVE, LEAVING, GONE}:
+        raise ValueError(f'no state {reprlib.repr(state)} is known')
+    return Host(
+        name=decoding.to_text(entry['name']),
+        role=decoding.to_text(entry['role']),
+        zone=decoding.to_text(entry['zone']),
+        rack=decoding.to_text(entry['rack']),
+        address=decoding.to_text(entry['address']),
+        state=state,
+    )
 
 
 def to_json(host_list: HostList) -> dict:
