Do not repeat a start to a worker that restarted meanwhile

A start without an answer is repeated up to twice. If the leader learns of a restart in between, the next attempt has the new token, so the renewal that shuts out older orders lets it pass, and it may arrive after the list that released the run.

The attempts end with the restart; the list tells whether the run has started.

Evidence: test_a_start_is_not_repeated_after_a_restart, 3 attempts before, 1 now.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
@@ -145,7 +145,8 @@
             task.group.job.has_started = True
             return
         if order_result is None:
-            self.stop_run(task, 'its start was not answered')
+            if task.incarnation == worker.incarnation:
+                self.stop_run(task, 'its start was not answered')
             return
         if order_result is interfaces.OrderResult.FENCED:
             self.leader.end_term(
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
@@ -128,13 +128,18 @@
     async def start_run(
         self, task: jobtable.Task, ticket: str
     ) -> interfaces.OrderResult | None:
-        """Order a start; return None if its outcome is not known."""
+        """Order a start; return None if its outcome is not known.
+
+        A worker that restarts meanwhile gets no further order: its answer to
+        the next renewal tells whether the run has started.
+        """
         run = task.run
         for _ in range(MAX_START_ATTEMPTS):
             if (
                 not self.listener.may_send_orders()
                 or not task.is_current_run(run)
                 or task.is_stopping
+                or task.incarnation != self.worker.incarnation
             ):
                 return None
             until = self._extend_lease(START_TTL_S)
--- a/tests/cluster/test_incarnations.py
+++ b/tests/cluster/test_incarnations.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 import pytest
 
-from jujubebend_cluster import interfaces
-from tests import fakecluster
+from jujubebend import errors
+from jujubebend_cluster import (
+    clock,
+    fleet,
+    interfaces,
+    jobtable,
+    workercontroller,
+)
+from tests import fakecluster, virtualtime
 from tests.cluster import harness
 
 TASK_S = 2.0
@@ -128,6 +136,44 @@
     _run(scenario)
 
 
+class _RestartingCalls:
+    """Calls to a worker that restarts during the first start, unanswered."""
+
+    def __init__(self):
+        self.worker = None
+        self.start_count = 0
+
+    async def start(self, order):
+        self.start_count += 1
+        self.worker.incarnation += 1
+        raise errors.UnreachableError('no answer')
+
+
+def test_a_start_is_not_repeated_after_a_restart():
+    """Guards against a second attempt that the new incarnation may carry out.
+
+    It would have the new token, so the renewal that shuts out older orders
+    lets it pass, and it may arrive after the list that releases the run.
+    """
+
+    async def main():
+        calls = _RestartingCalls()
+        worker = fleet.Worker(fakecluster.Worker('w1').entry())
+        worker.record_clock(1, clock.now(), clock.now())
+        calls.worker = worker
+        listener = mock.Mock()
+        controller = workercontroller.WorkerController(
+            worker, lambda name, address: calls, listener, 1, 6.0, 0
+        )
+        job_table = jobtable.JobTable()
+        task = job_table.add(fakecluster.job('j')).groups[0, 0].tasks[0]
+        job_table.assign_run(task, 'w1', worker.incarnation, 1)
+        assert await controller.start_run(task, '') is None
+        assert calls.start_count == 1
+
+    virtualtime.run(main)
+
+
 @pytest.mark.parametrize('is_entry_written', [True, False])
 def test_a_restarted_worker_gets_work_once_its_entry_is_known(
     is_entry_written,
