A start that this leader's own later token shut out does not end the term

When a worker restarts, the leader raises its token. A start that was under way with the token before is then refused as fenced, and the dispatcher took that for the sign of another leader and ended the term: seconds without starts on all workers.

Such an answer is now no answer: the list of runs decides.

Evidence: test_a_start_is_not_repeated_after_a_restart[True] failed before.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
@@ -167,6 +167,10 @@
                     why=str(exc),
                 )
                 continue
+            is_fenced = order_result is interfaces.OrderResult.FENCED
+            if is_fenced and order.token < self.worker.token:
+                # Fenced by this leader: the worker has restarted.
+                return None
             if task.is_current_run(run):
                 self._bound_start_lease(task, 0)
             return order_result
--- a/tests/cluster/test_incarnations.py
+++ b/tests/cluster/test_incarnations.py
@@ -137,27 +137,37 @@
 
 
 class _RestartingCalls:
-    """Calls to a worker that restarts during the first start, unanswered."""
+    """Calls to a worker that restarts during the first start.
 
-    def __init__(self):
+    The start is fenced by the token of the new incarnation, or not answered.
+    """
+
+    def __init__(self, *, is_fenced):
         self.worker = None
         self.start_count = 0
+        self.is_fenced = is_fenced
 
     async def start(self, order):
         self.start_count += 1
         self.worker.incarnation += 1
+        self.worker.token += 1
+        if self.is_fenced:
+            return interfaces.OrderResult.FENCED
         raise errors.UnreachableError('no answer')
 
 
-def test_a_start_is_not_repeated_after_a_restart():
+@pytest.mark.parametrize('is_fenced', [False, True])
+def test_a_start_is_not_repeated_after_a_restart(is_fenced):
     """Guards against a second attempt that the new incarnation may carry out.
 
     It would have the new token, so the renewal that shuts out older orders
-    lets it pass, and it may arrive after the list that releases the run.
+    lets it pass, and it may arrive after the list that releases the run. A
+    first attempt that this token shuts out is no sign of another leader, which
+    would end the term.
     """
 
     async def main():
-        calls = _RestartingCalls()
+        calls = _RestartingCalls(is_fenced=is_fenced)
         worker = fleet.Worker(fakecluster.Worker('w1').entry())
         worker.record_clock(1, clock.now(), clock.now())
         calls.worker = worker
