Planner: whether a gang may fit is answered by as many workers as it needs

The question of (does the gang fit if nothing else runs?) looked at all workers for each blocked gang in each pass.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/placement.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/placement.py
@@ -390,9 +390,16 @@
 def may_hold(
     request: PlacementRequest, workers: abc.Iterable[fleet.Worker]
 ) -> bool:
-    """Return whether all tasks of a group fit if nothing else runs."""
-    room = sum(count_when_empty(request, worker) for worker in workers)
-    return room >= len(request.group.tasks)
+    """Return whether all tasks of a group fit if nothing else runs.
+
+    Only for a group that does not fit are all workers looked at.
+    """
+    missing = len(request.group.tasks)
+    for worker in workers:
+        missing -= count_when_empty(request, worker)
+        if missing <= 0:
+            return True
+    return False
 
 
 def _fill_workers(
