One function for how long a lease lasts at most; behaviour unchanged

The bound of a start wrote again what former_leases_expire_at had. A comment says why a start without an answer is not stopped after a restart.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
@@ -145,6 +145,7 @@
             task.group.job.has_started = True
             return
         if order_result is None:
+            # After a restart, the worker's list of runs decides.
             if task.incarnation == worker.incarnation:
                 self.stop_run(task, 'its start was not answered')
             return
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/fleet.py
@@ -266,6 +266,14 @@
         return count * count_tasks(mean_capacity, demand)
 
 
+def longest_lease(seconds: float) -> float:
+    """Return how long, on our clock, a lease of ``seconds`` lasts at most.
+
+    It is measured on the worker's clock, which may be slow.
+    """
+    return seconds / SLOWEST_CLOCK_RATE + LEASE_MARGIN_S
+
+
 def count_tasks(capacity: jobspec.Demand, demand: jobspec.Demand) -> int:
     """Return how many tasks of a demand fit into a capacity.
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/leaderstate.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/leaderstate.py
@@ -89,13 +89,8 @@
         bound = self.lease_bounds.find(worker, incarnation)
         if bound is not None:
             return bound
-        longest_lease_s = self.context.lease / fleet.SLOWEST_CLOCK_RATE
-        return (
-            self.started_at
-            + STORE_LOSS_GRACE_S
-            + longest_lease_s
-            + fleet.LEASE_MARGIN_S
-        )
+        lease_s = fleet.longest_lease(self.context.lease)
+        return self.started_at + STORE_LOSS_GRACE_S + lease_s
 
     def save_job(self, job: jobtable.Job) -> None:
         """Write the job's progress with the next commit.
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
@@ -281,7 +281,7 @@
         If the worker has restarted, the end of the lease in the order lies far
         ahead on its new clock, and the worker grants the longest lease.
         """
-        lease_s = self.lease / fleet.SLOWEST_CLOCK_RATE + fleet.LEASE_MARGIN_S
+        lease_s = fleet.longest_lease(self.lease)
         task.lease_expires_at = clock.now() + delay + lease_s
 
     def _extend_lease(self, seconds: float) -> float | None:
