--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,9 +16,7 @@
 LONGEST_CUT_S = 5.5
 
 
-async def run(
-    deployment: standin.Deployment, trouble: bool
-) -> list[str]:
+async def run(deployment: standin.Deployment, trouble: bool) -> list[str]:
     """Run all tasks on one worker of six, by its label."""
     others = [{'labels': ('a', 'r1')}] * 5
     config = standin.desired_state(1, standin.route('plans'))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -17,9 +17,7 @@
 FIRST_CRASH_S = 3.0
 
 
-async def run(
-    deployment: standin.Deployment, trouble: bool
-) -> list[str]:
+async def run(deployment: standin.Deployment, trouble: bool) -> list[str]:
     """Submit short jobs while the workers crash in turn."""
     checks = standin.route(
         'checks', priority=0, target_latency_ms=250, slack_factor=1.5
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -19,9 +19,7 @@
 OTHER_JOB = f'{0xF1:016x}'
 
 
-async def run(
-    deployment: standin.Deployment, trouble: bool
-) -> list[str]:
+async def run(deployment: standin.Deployment, trouble: bool) -> list[str]:
     """Submit jobs for the worker with the label, crash it, submit another."""
     others = [{'labels': ('a', 'r1')}] * 7
     plans = standin.route('plans', slack_factor=4.0, target_latency_ms=3000)
--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -27,6 +27,7 @@
 from urllib import parse
 
 import attrs
+
 from jujubebend import errors
 from jujubebend_http import httpclient, httpmessage, httpserver
 
@@ -297,7 +298,9 @@
                 LOOPBACK, self._target_port
             )
             pumps = [
-                asyncio.create_task(self._pump(reader, far_writer, life, writer)),
+                asyncio.create_task(
+                    self._pump(reader, far_writer, life, writer)
+                ),
                 asyncio.create_task(self._pump(far_reader, writer, life, None)),
             ]
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
@@ -505,7 +508,7 @@
         self.record.write(f'{self.name} starts {task} run {number}')
         loop = asyncio.get_running_loop()
         how = 'failed' if run.fails else 'done'
-        loop.call_later(run.work_s, self._end_run, run, how)
+        loop.call_later(run.work_s, self.end_run, run, how)
         return self._answer(200)
 
     def _stop_run(self, document: dict) -> httpmessage.Reply:
@@ -515,7 +518,7 @@
         self.record.write(f'{self.name} is told to stop {task} run {number}')
         if current is not None and current.number == number:
             loop = asyncio.get_running_loop()
-            loop.call_later(STOP_S, self._end_run, current, 'stopped')
+            loop.call_later(STOP_S, self.end_run, current, 'stopped')
         return self._answer(200)
 
     async def _hold(self, document: dict, life: int) -> httpmessage.Reply:
@@ -559,7 +562,8 @@
         latest = self.clock() + HOLD_MAX_S
         self.lease_until = max(self.lease_until, min(until, latest))
 
-    def _end_run(self, run: Run, how: str) -> None:
+    def end_run(self, run: Run, how: str) -> None:
+        """End a run, unless it has ended."""
         if run.ended_at is not None:
             return
         self.running.pop(run.task)
@@ -584,7 +588,7 @@
                 for run in self.ends:
                     run.lapsed_after_end = True
                 for run in list(self.running.values()):
-                    self._end_run(run, 'lapsed')
+                    self.end_run(run, 'lapsed')
             was_lapsed = is_lapsed
 
     async def _beat(self) -> None:
@@ -595,24 +599,27 @@
 
     def _write_entry(self) -> None:
         self.sequence += 1
-        self.store.put(f'servers/{self.name}', {
-            'service': 'svc',
-            'address': self.link.address,
-            'zone': 'z0',
-            'config_version': 'v1',
-            'slots': 8,
-            'state': self.state,
-            'cold_remaining_ms': 0,
-            'capacity': {
-                'cpu': self.cpu,
-                'mem_mb': self.memory_mb,
-                'gpu': 0,
+        self.store.put(
+            f'servers/{self.name}',
+            {
+                'service': 'svc',
+                'address': self.link.address,
+                'zone': 'z0',
+                'config_version': 'v1',
+                'slots': 8,
+                'state': self.state,
+                'cold_remaining_ms': 0,
+                'capacity': {
+                    'cpu': self.cpu,
+                    'mem_mb': self.memory_mb,
+                    'gpu': 0,
+                },
+                'labels': list(self.labels),
+                'born': self.born,
+                'clock_ms': round(self.clock() * 1000),
+                'sequence': self.sequence,
             },
-            'labels': list(self.labels),
-            'born': self.born,
-            'clock_ms': round(self.clock() * 1000),
-            'sequence': self.sequence,
-        })
+        )
 
     def _answer(self, status: int, **fields: object) -> httpmessage.Reply:
         return _reply(
