review: the scripts exit with 2 on any failure of their own

Cause: an exception of the harness made Python exit with 1, which stands for a broken rule; a script that was ended left its daemons behind.

Done: every exception, a case that cannot be loaded and SIGTERM give 2, and the daemons are ended.

A script that raises, one without the build and one that got SIGTERM exited with 2.

--- a/review/standin-2/run-case.sh
+++ b/review/standin-2/run-case.sh
@@ -9,8 +9,7 @@
 }
 export PYTHONDONTWRITEBYTECODE=1
 export PYTHONPATH="$root/target/deps:$root/review/standin-2"
-python3 "$case/case.py"
-status=$?
-# Any other end, such as an exception, is no finding.
-case $status in 0 | 1 | 2) ;; *) status=2 ;; esac
-exit $status
+# A case that cannot be loaded would exit with 1, as one that finds something.
+python3 -c 'import runpy, sys; runpy.run_path(sys.argv[1])' "$case/case.py" ||
+    exit 2
+exec python3 "$case/case.py"
--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -910,16 +910,24 @@
     """
     trouble = os.environ.get('TROUBLE', '1') != '0'
     record = Record(folder / 'record.txt')
-    sys.exit(asyncio.run(_run_case(case, trouble, record)))
+    try:
+        status = asyncio.run(_run_case(case, trouble, record))
+    except Exception as exc:
+        # Python would exit with 1, which stands for a broken rule.
+        print(f'the case could not be ended: {exc!r}')
+        status = 2
+    sys.exit(status)
 
 
 async def _run_case(case, trouble: bool, record: Record) -> int:
     temporary = pathlib.Path(tempfile.mkdtemp(prefix='review-case-'))
     deployment = Deployment(temporary, record)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     try:
         async with asyncio.timeout(CASE_LIMIT_S):
             breaches = await case(deployment, trouble)
-    except (CaseError, TimeoutError, OSError) as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         record.write(f'the case could not run: {exc!r}')
         print(f'the case could not run: {exc!r}')
         return 2
