--- a/packages/jujubebend-cluster/src/jujubebend_cluster/interfaces.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/interfaces.py
@@ -152,6 +152,18 @@
     ended: tuple[EndedRun, ...] = ()
 
 
+@attrs.frozen
+class Acknowledgement:
+    """Ends of a worker that are stored: those up to ``number``.
+
+    Each incarnation of a worker numbers its ends from one, so the number holds
+    for the incarnation ``born`` alone.
+    """
+
+    born: int = 0
+    number: int = 0
+
+
 class OrderResult(enum.Enum):
     """A worker's answer to an order."""
 
@@ -205,14 +217,16 @@
     async def renew_leases(
         self,
         token: int,
-        last_end: int,
+        acknowledged: Acknowledgement,
         until: float | None,
         wait: float,
         *,
         list_runs: bool = True,
     ) -> WorkerStatus | OrderResult:
-        """Extend leases, acknowledge ends up to ``last_end``, list runs.
+        """Extend leases, acknowledge ends, list runs.
 
+        The worker discards the acknowledged ends. A call that may reach another
+        incarnation than theirs acknowledges none; they are listed again then.
         The leases last until the worker's clock reaches ``until``; None
         extends none. The worker waits up to ``wait`` seconds for a run to
         end. Without ``list_runs`` it may omit the active runs.
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/relay.py
@@ -314,7 +314,7 @@
     async def renew_leases(
         self,
         token: int,
-        last_end: int,
+        acknowledged: interfaces.Acknowledgement,
         until: float | None,
         wait: float,
         *,
@@ -324,9 +324,10 @@
         route = self.router.route_to(self.worker)
         if route is None:
             return await self._direct_calls().renew_leases(
-                token, last_end, until, wait, list_runs=list_runs
+                token, acknowledged, until, wait, list_runs=list_runs
             )
-        row = [token, last_end, until, wait, list_runs]
+        acknowledged_row = [acknowledged.born, acknowledged.number]
+        row = [token, acknowledged_row, until, wait, list_runs]
         return await self._call_through_relay(
             route, relaycodec.RENEW, row, wait + RENEWAL_SLACK_S
         )
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/relaycodec.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/relaycodec.py
@@ -140,9 +140,13 @@
     payloads: PayloadCache,
 ) -> interfaces.WorkerStatus | interfaces.OrderResult:
     if call_name == RENEW:
-        token, last_end, until, wait, list_runs = row
+        token, acknowledged_row, until, wait, list_runs = row
         return await calls.renew_leases(
-            token, last_end, until, wait, list_runs=list_runs
+            token,
+            interfaces.Acknowledgement(*acknowledged_row),
+            until,
+            wait,
+            list_runs=list_runs,
         )
     name, *rest = row
     task = _decode_task_name(name)
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
@@ -67,7 +67,7 @@
     """Communicates with one worker until cancelled or ``is_stopped``.
 
     ``incarnations`` counts the restarts of the worker during this term.
-    ``acknowledged_end`` is the number of the last end that is stored.
+    ``acknowledged`` are the ends that are stored.
     ``lease`` is in seconds. Leases that former leaders granted have expired
     after ``former_leases_expire_at``.
     """
@@ -79,7 +79,7 @@
     lease: float
     former_leases_expire_at: float
     calls: interfaces.WorkerCalls = attrs.field(init=False)
-    acknowledged_end: int = 0
+    acknowledged: interfaces.Acknowledgement = interfaces.Acknowledgement()
     incarnations: int = 0
     is_stopped: bool = False
     _replaced_calls: list[interfaces.WorkerCalls] = attrs.field(factory=list)
@@ -260,7 +260,7 @@
             with _unanswered_on_error():
                 answer = await self.calls.renew_leases(
                     worker.token,
-                    self.acknowledged_end,
+                    self.acknowledged,
                     until,
                     wait_s,
                     list_runs=should_list_runs,
@@ -313,9 +313,6 @@
         if not worker.is_reachable:
             worker.is_reachable = True
             logs.belief('worker_reached', worker=worker.name, born=status.born)
-        last_end = max(
-            (end.number for end in status.ended), default=self.acknowledged_end
-        )
         incarnation = worker.incarnation
         handler_task = asyncio.ensure_future(
             self.listener.handle_status(worker, status, sent_at)
@@ -324,7 +321,10 @@
         done, _ = await asyncio.wait({handler_task}, timeout=RENEWAL_PAUSE_S)
         self._is_status_stored = bool(done) and handler_task.result()
         if self._is_status_stored and worker.incarnation == incarnation:
-            self.acknowledged_end = max(self.acknowledged_end, last_end)
+            last_end = max((end.number for end in status.ended), default=0)
+            self.acknowledged = interfaces.Acknowledgement(
+                status.born, max(self.acknowledged.number, last_end)
+            )
 
     async def _handle_no_answer(self, why: str) -> None:
         worker = self.worker
@@ -381,7 +381,7 @@
         worker.leased_until = 0
         worker.speed_estimate.forget()
         worker.is_reachable = False
-        self.acknowledged_end = 0
+        self.acknowledged = interfaces.Acknowledgement()
         self._is_status_stored = False
         self.incarnations += 1
         self._update_token()
--- a/packages/jujubebend-http/src/jujubebend_http/httpclient.py
+++ b/packages/jujubebend-http/src/jujubebend_http/httpclient.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import itertools
+from collections import abc
 
 import attrs
 import h11
@@ -16,8 +18,22 @@
 MAX_IDLE_SECONDS = 30.0
 
 
+@attrs.frozen
+class PinnedBody:
+    """A body that may only be sent on one connection of a client.
+
+    A connection ends with the process that serves it. So a request on the
+    ``connection`` that a reply came on reaches the process that sent the reply,
+    or none, while a new connection may reach a later process.
+    """
+
+    connection: int
+    body: bytes
+
+
 @attrs.define(eq=False)
 class _Connection:
+    number: int
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     protocol: h11.Connection
@@ -52,6 +68,9 @@
     address: str
     max_connections: int = 8
     _idle_connections: list[_Connection] = attrs.field(factory=list)
+    _connection_numbers: abc.Iterator[int] = attrs.field(
+        factory=lambda: itertools.count(1)
+    )
     _call_slots: asyncio.Semaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -67,12 +86,14 @@
         timeout: float,
         headers: dict[str, str] | None = None,
         is_idle_timeout: bool = False,
+        pinned_body: PinnedBody | None = None,
     ) -> httpmessage.Reply:
         """Send a request and return the complete reply.
 
         ``timeout`` is in seconds and covers the whole call, including the
         wait for a connection. If ``is_idle_timeout`` is set, it starts anew
-        with each part of the reply that arrives.
+        with each part of the reply that arrives. ``pinned_body`` takes the
+        place of ``body`` if the request is sent on its connection.
         """
         conn: _Connection | None = None
         head = self._build_head(method, target, body, headers)
@@ -81,6 +102,9 @@
                 conn = await self._acquire_connection()
                 conn.deadline = deadline if is_idle_timeout else None
                 conn.timeout_seconds = timeout
+                if pinned_body and pinned_body.connection == conn.number:
+                    body = pinned_body.body
+                    head = self._build_head(method, target, body, headers)
                 return await self._exchange_messages(conn, head, body)
         except (TimeoutError, OSError, h11.ProtocolError) as exc:
             cause = f'{type(exc).__name__} {exc}'.strip()
@@ -148,7 +172,12 @@
             # An address may come from another process: a port out of range
             # and a host that is no name are reported by these other errors.
             raise errors.NotSentError(f'{self.address}: {exc}') from exc
-        return _Connection(reader, writer, h11.Connection(h11.CLIENT))
+        return _Connection(
+            next(self._connection_numbers),
+            reader,
+            writer,
+            h11.Connection(h11.CLIENT),
+        )
 
     def _build_head(
         self,
@@ -209,7 +238,9 @@
             case h11.EndOfMessage():
                 content_type = headers.get('content-type', '')
                 body = b''.join(chunks)
-                return httpmessage.Reply(status, body, content_type, headers)
+                return httpmessage.Reply(
+                    status, body, content_type, headers, conn.number
+                )
             case h11.ConnectionClosed():
                 raise ConnectionError(
                     'connection closed before the reply was complete',
--- a/packages/jujubebend-standin/src/jujubebend_standin/emulator/localcluster.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/emulator/localcluster.py
@@ -140,6 +140,7 @@
     hosts: list[Host] = attrs.field(factory=list)
     relays: list[relay.Relay] = attrs.field(factory=list)
     _addresses: dict[str, str] = attrs.field(factory=dict)
+    _worker_relays: dict[str, relay.Relay] = attrs.field(factory=dict)
     _machine_address: str = ''
     _servers: list[httpserver.Server] = attrs.field(factory=list)
 
@@ -163,7 +164,7 @@
         )
         self.store.put('op/config', CONFIG)
         for number in range(hosts):
-            store_address = await self._start_relay(address)
+            store_address = _relay_address(await self._start_relay(address))
             host = self._create_host(f'host-{number}', store_address)
             self.hosts.append(host)
             await host.start()
@@ -175,7 +176,9 @@
         )
         self.workers.append(emulated_worker)
         address = await self._start_server(emulated_worker.handle)
-        self._addresses[emulated_worker.name] = await self._start_relay(address)
+        tcp_relay = await self._start_relay(address)
+        self._worker_relays[emulated_worker.name] = tcp_relay
+        self._addresses[emulated_worker.name] = _relay_address(tcp_relay)
         self.write_worker_entry(emulated_worker)
         return emulated_worker
 
@@ -209,6 +212,15 @@
         }
         self.store.put(f'servers/{emulated_worker.name}', entry)
 
+    def crash_worker(self, emulated_worker: worker.EmulatedWorker) -> None:
+        """Crash a worker, which starts again under its ID at once.
+
+        Its connections go silent for good. New ones reach the new incarnation,
+        whose entry is not written yet.
+        """
+        emulated_worker.crash()
+        self._worker_relays[emulated_worker.name].blackhole_connections()
+
     async def stop(self) -> None:
         """Kill the daemons, then stop the platform."""
         for host in self.hosts:
@@ -218,12 +230,12 @@
         for server in self._servers:
             await server.stop(0)
 
-    async def _start_relay(self, address: str) -> str:
-        """Start a relay to an address; return the address of the relay."""
+    async def _start_relay(self, address: str) -> relay.Relay:
+        """Start a relay to an address."""
         tcp_relay = relay.Relay(address)
         self.relays.append(tcp_relay)
         await tcp_relay.start()
-        return f'{LOOPBACK}:{tcp_relay.port}'
+        return tcp_relay
 
     async def _start_server(self, handler: httpserver.Handler) -> str:
         server = httpserver.Server(handler)
@@ -259,6 +271,10 @@
         )
 
 
+def _relay_address(tcp_relay: relay.Relay) -> str:
+    return f'{LOOPBACK}:{tcp_relay.port}'
+
+
 async def wait_until_ready(host: Host) -> None:
     """Poll a host until its daemon is ready.
 
--- a/properties/test_messages.py
+++ b/properties/test_messages.py
@@ -51,6 +51,7 @@
     '@infinite': b'1e400',
     '@long': b'9' * 5000,
 }
+NO_ENDS = interfaces.Acknowledgement()
 SCALARS = strategies.one_of(
     strategies.none(),
     strategies.booleans(),
@@ -184,7 +185,7 @@
 @hypothesis.given(damaged(STATUS))
 def test_statuses_of_workers(body):
     worker = workers.Worker('i-1', '10.0.0.1:80')
-    status = _run_call(lambda: worker.renew_leases(64, 0, None, 0), body)
+    status = _run_call(lambda: worker.renew_leases(64, NO_ENDS, None, 0), body)
     if status is not None:
         # What was read can be passed on by a relay and is read there again.
         assert status.running is not None
@@ -192,7 +193,7 @@
             relaycodec.execute_call(
                 mock.Mock(renew_leases=mock.AsyncMock(return_value=status)),
                 relaycodec.RENEW,
-                [64, 0, None, 0, True],
+                [64, [0, 0], None, 0, True],
                 relaycodec.PayloadCache(),
             )
         )
--- a/tests/adapter/test_machines.py
+++ b/tests/adapter/test_machines.py
@@ -14,6 +14,7 @@
 from jujubebend_http import httpmessage, httpserver
 
 WAVE = {'wave': 3, 'machines': ['m-1', 'm-2'], 'within_s': 20, 'max_count': 1}
+NO_ENDS = interfaces.Acknowledgement()
 ROWS = [
     {'machine': 'm-1', 'state': 'up', 'id': 'i-1'},
     {'machine': 'm-2', 'state': 'upkeep', 'id': None},
@@ -125,12 +126,37 @@
                 'percent': 40,
                 'fencing_token': 9,
             }
-            full_status = await client.renew_leases(9, 0, None, 0)
+            full_status = await client.renew_leases(9, NO_ENDS, None, 0)
             assert full_status.running[0].usage == pytest.approx(180 / 1_000)
             brief_status = await client.renew_leases(
-                9, 0, None, 0, list_runs=False
+                9, NO_ENDS, None, 0, list_runs=False
             )
             assert brief_status.running is None
             await client.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ('acknowledged_born', 'is_reconnected', 'expected'),
+    [(5, False, 7), (6, False, 0), (5, True, 0)],
+)
+def test_ends_are_acknowledged_where_their_incarnation_answered(
+    acknowledged_born, is_reconnected, expected
+):
+    """Guards against an acknowledgement that a later incarnation receives."""
+
+    async def main():
+        reply = (200, {'clock_ms': 1500, 'born': 5})
+        async with _serve_replies(reply, reply) as (address, requests):
+            client = workers.Worker('i-1', address)
+            await client.renew_leases(9, NO_ENDS, None, 0)
+            if is_reconnected:
+                await client.close()
+            acknowledged = interfaces.Acknowledgement(acknowledged_born, 7)
+            await client.renew_leases(9, acknowledged, None, 0)
+            await client.close()
+            numbers = [orjson.loads(req.body)['last_seen'] for req in requests]
+            assert numbers == [0, expected]
+
+    asyncio.run(main())
--- a/tests/cluster/test_relay.py
+++ b/tests/cluster/test_relay.py
@@ -291,7 +291,17 @@
         await harness.wait_until(
             lambda: cluster.workers['w0'].token > old_token
         )
-        row = [7, relaycodec.RENEW, 'w0', 'w0', old_token, 0, None, 0, True]
+        row = [
+            7,
+            relaycodec.RENEW,
+            'w0',
+            'w0',
+            old_token,
+            [0, 0],
+            None,
+            0,
+            True,
+        ]
         relay_server = next(iter(relay_network.relays.values()))
         await relay_server.exchange({
             'session': 's',
@@ -327,7 +337,7 @@
         server = relayserver.RelayServer(
             lambda name, address: _HangingWorker(closed)
         )
-        row = [1, relaycodec.RENEW, 'w', 'a', 1, 0, None, 0, True]
+        row = [1, relaycodec.RENEW, 'w', 'a', 1, [0, 0], None, 0, True]
         first = await server.exchange({
             'session': 'a',
             'calls': [row],
--- a/tests/fakecluster.py
+++ b/tests/fakecluster.py
@@ -155,7 +155,9 @@
     makes them report 100 percent, and ``fails`` makes them fail.
     ``tail_latency_s`` returns the usage that runs report.
 
-    ``born`` is the incarnation number. ``highest_runs`` maps a task to its
+    ``born`` is the incarnation number, and ``answered_born`` the one that the
+    caller's connection has reached: it acknowledges ends of that one only.
+    ``highest_runs`` maps a task to its
     highest run number, ``started`` lists each start as (task, run), and
     ``start_times`` as (task, run, time).
     """
@@ -180,6 +182,7 @@
     highest_runs: dict = attrs.field(factory=dict)
     leased_until: float = 0
     acknowledged: int = 0
+    answered_born: int = 0
     started: list = attrs.field(factory=list)
     start_times: list = attrs.field(factory=list)
     ended_at: dict = attrs.field(factory=dict)
@@ -278,7 +281,7 @@
         return interfaces.OrderResult.ACCEPTED
 
     async def renew_leases(
-        self, token, last_end, until, wait, *, list_runs=True
+        self, token, acknowledged, until, wait, *, list_runs=True
     ):
         await self._simulate_call()
         if token < self.token:
@@ -288,7 +291,8 @@
             self.leased_until = max(
                 self.leased_until, min(until, self.clock() + MAX_LEASE_S)
             )
-        self.acknowledged = max(self.acknowledged, last_end)
+        if acknowledged.born == self.answered_born == self.born:
+            self.acknowledged = max(self.acknowledged, acknowledged.number)
         deadline = clock.now() + wait
         while True:
             self._end_due_runs()
@@ -300,6 +304,7 @@
             await asyncio.sleep(0.01)
             if self.mute:
                 raise errors.UnreachableError('no answer')
+        self.answered_born = self.born
         return self._build_status()
 
     async def close(self):
