Log each released run, whatever the rate of lines

A released run is followed by a start, which is always written, so the lines are at most as many again.

The parametrized test fails for `released` without it.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/logs.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/logs.py
@@ -20,6 +20,7 @@
 # Events that are written whatever the rate of lines.
 _UNLIMITED_EVENTS = frozenset((
     'start',
+    'released',
     'stop',
     'reload',
     'dependency',
--- a/tests/cluster/test_logs.py
+++ b/tests/cluster/test_logs.py
@@ -59,12 +59,14 @@
     assert lines[-2]['count'] == 50
 
 
-def test_a_belief_is_written_beyond_the_rate_limit(pipe, monkeypatch):
+@pytest.mark.parametrize('event', ['belief', 'released'])
+def test_an_event_is_written_beyond_the_rate_limit(pipe, monkeypatch, event):
+    """Guards against logs without the reason for a task's second start."""
     sink = _build_sink(pipe[1], monkeypatch)
     for number in range(logs.MAX_LINES_PER_SECOND + 50):
         sink(_build_message(number))
-    sink(_build_message(event='belief'))
-    assert _read_lines(pipe[0])[-1]['event'] == 'belief'
+    sink(_build_message(event=event))
+    assert _read_lines(pipe[0])[-1]['event'] == event
 
 
 def test_a_stopped_reader_costs_lines_but_does_not_block(pipe, monkeypatch):
