--- a/packages/jujubebend-cluster/src/jujubebend_cluster/interfaces.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/interfaces.py
@@ -143,13 +143,15 @@
 
     ``clock`` is the worker's clock in seconds, and ``born`` its incarnation
     number, zero if it reports none. ``running`` is None if the answer omits
-    the active runs.
+    the active runs. Without ``lists_all_ends`` there may be more ends, which
+    are listed once some of these are acknowledged.
     """
 
     clock: float
     born: int
     running: tuple[ActiveRun, ...] | None = ()
     ended: tuple[EndedRun, ...] = ()
+    lists_all_ends: bool = True
 
 
 @attrs.frozen
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/reconciler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/reconciler.py
@@ -184,7 +184,17 @@
                 continue
             listed_tasks.add(active_run.task)
             self._apply_progress(worker, task, active_run, now)
-        listed_tasks.update(end.task for end in status.ended)
+        if status.lists_all_ends:
+            listed_tasks.update(end.task for end in status.ended)
+            self._release_unlisted_runs(worker, listed_tasks, sent_at)
+
+    def _release_unlisted_runs(
+        self,
+        worker: fleet.Worker,
+        listed_tasks: set[jobspec.TaskName],
+        sent_at: float,
+    ) -> None:
+        """Release the runs that a complete status does not list."""
         for task in list(worker.tasks.values()):
             answered_at = task.answered_at
             if task.name in listed_tasks or answered_at is None:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/relaycodec.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/relaycodec.py
@@ -105,6 +105,7 @@
         if running is None
         else [_encode_active_run(run) for run in running],
         [_encode_ended_run(run) for run in answer.ended],
+        answer.lists_all_ends,
     ]
 
 
@@ -124,12 +125,13 @@
         raise errors.UnreachableError(rest[0])
     if answer_type == _ORDER_RESULT:
         return interfaces.OrderResult(rest[0])
-    clock, born, running, ended = rest
+    clock, born, running, ended, lists_all_ends = rest
     return interfaces.WorkerStatus(
         decoding.to_number(clock),
         decoding.to_count(born),
         None if running is None else tuple(map(_decode_active_run, running)),
         tuple(map(_decode_ended_run, ended)),
+        bool(lists_all_ends),
     )
 
 
--- a/packages/jujubebend-standin/src/jujubebend_standin/emulator/worker.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/emulator/worker.py
@@ -16,6 +16,7 @@
 POLL_INTERVAL_SECONDS = 0.02  # between checks for ended runs
 STOP_SECONDS = 0.1  # duration of a stop
 HANG_SECONDS = 30.0  # longer than the time-out of any caller
+MAX_LISTED_ENDS = 500  # in one reply
 
 
 @attrs.define(eq=False)
@@ -211,7 +212,9 @@
             ],
             ended=[
                 [end_number, run.task, run.number, run.outcome, '']
-                for end_number, run in self.unacknowledged_ends
+                for end_number, run in self.unacknowledged_ends[
+                    :MAX_LISTED_ENDS
+                ]
             ],
         )
 
--- a/tests/cluster/test_relay.py
+++ b/tests/cluster/test_relay.py
@@ -377,3 +377,32 @@
         )
 
     _run_scenario(scenario)
+
+
+def test_an_end_that_a_relayed_status_leaves_out_restarts_no_task():
+    """Guards against a relay that passes a part of the ends on as all of them.
+
+    More tasks end while the workers are silent than one status lists.
+    """
+
+    async def scenario(cluster):
+        leader_term, relay_network, _ = await _start_term_with_relays(cluster)
+        names = _submit_jobs(cluster, 4)
+        await harness.wait_until(
+            lambda: all(
+                len(harness.find_starts(cluster, name)) == 3 for name in names
+            )
+        )
+        for worker in cluster.workers.values():
+            worker.mute = True
+        await asyncio.sleep(2)
+        for worker in cluster.workers.values():
+            worker.mute = False
+        await _wait_completed(leader_term, names)
+        assert all(
+            len(harness.find_starts(cluster, name)) == 3 for name in names
+        )
+        assert relay_network.exchanges
+
+    with mock.patch.object(fakecluster, 'MAX_LISTED_ENDS', 1):
+        _run_scenario(scenario)
--- a/tests/emulator/test_localcluster.py
+++ b/tests/emulator/test_localcluster.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import base64
-import contextlib
-import random
 import sys
 
 import orjson
@@ -13,24 +11,13 @@
 
 from jujubebend import errors
 from jujubebend_standin import ports
-from jujubebend_standin.emulator import checks, loadgenerator, localcluster
+from jujubebend_standin.emulator import checks, localcluster
+from tests.emulator import harness
 
 WAVE = {'wave': 1, 'within_s': 12, 'max_count': 1}
 COMPLETION_LIMIT_SECONDS = 60
 
 
-@contextlib.asynccontextmanager
-async def _run_cluster(folder, hosts, workers):
-    cluster = localcluster.LocalCluster(folder)
-    load = loadgenerator.LoadGenerator(cluster, random.Random(1))
-    try:
-        await cluster.start(hosts, workers, 8_000)
-        yield cluster, load
-    finally:
-        await load.close_connections()
-        await cluster.stop()
-
-
 async def _read_wave_status(cluster):
     item = cluster.store.items.get('status/wave/1')
     return orjson.loads(base64.b64decode(item['value'])) if item else {}
@@ -44,7 +31,7 @@
 
 def test_wave_maintains_every_machine_once_without_losing_jobs(tmp_path):
     async def main():
-        async with _run_cluster(tmp_path, 2, 3) as (cluster, load):
+        async with harness.run_cluster(tmp_path, 2, 3) as (cluster, load):
             names = list(cluster.machine_service.machines)
             cluster.store.put('op/wave/1', {**WAVE, 'machines': names})
             async with asyncio.TaskGroup() as group:
@@ -77,7 +64,7 @@
 
 def test_ctl_shows_hosts_and_workers_of_running_daemon(tmp_path):
     async def main():
-        async with _run_cluster(tmp_path, 1, 2) as (cluster, load):
+        async with harness.run_cluster(tmp_path, 1, 2) as (cluster, load):
             job = await load.submit_job(1, 1_000, 0.1)
             await load.wait_until_ended()
             assert job.state == 'completed'
@@ -129,7 +116,7 @@
     """
 
     async def main():
-        async with _run_cluster(tmp_path, 2, 1) as (cluster, load):
+        async with harness.run_cluster(tmp_path, 2, 1) as (cluster, load):
             for number, body in enumerate(_odd_entries()):
                 cluster.store.put_bytes(f'servers/odd-{number}', body)
                 await asyncio.sleep(0.05)
--- a/tests/fakecluster.py
+++ b/tests/fakecluster.py
@@ -14,6 +14,7 @@
 STOP_LATENCY_S = 0.5
 CALL_TIMEOUT_S = 1.0  # until a call without an answer fails
 MAX_LEASE_S = 6.0
+MAX_LISTED_ENDS = 500  # in one status
 
 
 @attrs.define(eq=False)
@@ -323,7 +324,11 @@
             for task, active in self.runs.items()
         )
         return interfaces.WorkerStatus(
-            self.clock(), self.born, running, tuple(self.ends)
+            self.clock(),
+            self.born,
+            running,
+            tuple(self.ends[:MAX_LISTED_ENDS]),
+            lists_all_ends=len(self.ends) <= MAX_LISTED_ENDS,
         )
 
     def _progress_percent(self, active, now):
