--- a/packages/jujubebend-cluster/src/jujubebend_cluster/jobtable.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/jobtable.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from jujubebend_cluster import interfaces, jobspec, progress, speeds
@@ -112,6 +114,7 @@
 
     ``failures`` counts the failed runs of a gang, which fails as a whole.
     ``ready_at`` is when the steps before were done, None until then.
+    ``tried_at`` is when a planning pass last tried to place it.
     ``full_runs`` are those of its tasks that ran from start to end at once.
     """
 
@@ -124,6 +127,7 @@
     done_count: int = 0
     placed_count: int = 0
     ready_at: float | None = None
+    tried_at: float = -math.inf
     tickets: Tickets = attrs.field(factory=Tickets)
     full_runs: list[speeds.Run] = attrs.field(factory=list)
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import collections
+import heapq
 import math
 from collections import abc
 
@@ -35,8 +36,9 @@
 # A gang has enough approved workers once they could run this multiple of its
 # tasks.
 APPROVED_CAPACITY_FACTOR = 8.0
-# Groups of one queue that a pass tries to place without success before it
-# skips the rest of that queue.
+# Groups of one queue, and of one label that they require, that a pass tries to
+# place without success before it skips the others. Of all groups of the queue
+# it tries as many whose last try is the longest ago.
 MAX_BLOCKED_GROUPS = 20
 # The size of a service without listed workers.
 UNKNOWN_SIZE = fleet.ServiceSize()
@@ -67,11 +69,15 @@
 
 @attrs.define(eq=False)
 class _ServicePass:
-    """The part of a planning pass that concerns one service."""
+    """The part of a planning pass that concerns one service.
+
+    ``turns`` are the groups that the pass does not skip.
+    """
 
     plan: Plan
     placer: placement.Placer
-    _blocked_counts: collections.Counter[str] = attrs.field(
+    turns: abc.Set[jobtable.Group]
+    _blocked_counts: collections.Counter[tuple[str, str]] = attrs.field(
         factory=collections.Counter
     )
 
@@ -79,26 +85,28 @@
         """Place a group as far as it fits, else prepare capacity for it.
 
         Under overload most groups of a queue do not fit, so a pass tries
-        only the first of them. A group that has no advice yet is always
-        tried, so that its advice is requested without delay.
+        only the first of them, and those whose turn it is: that some found no
+        room says little about the others, which may ask for less. A group that
+        has no advice yet is always tried, so that its advice is requested
+        without delay.
         """
         queue = request.queue
+        kind = (queue.name, request.step.required_label)
         is_new = (
             queue.advice is not None
             and not request.group.tickets.queried_workers
         )
-        if (
-            self._blocked_counts[queue.name] >= MAX_BLOCKED_GROUPS
-            and not is_new
-        ):
+        is_limited = self._blocked_counts[kind] >= MAX_BLOCKED_GROUPS
+        if is_limited and not is_new and request.group not in self.turns:
             return
+        request.group.tried_at = self.placer.now
         ticketed = self.placer.ticketed_workers(request)
         if request.step.gang:
             is_placed = self._place_gang(request, ticketed)
         else:
             is_placed = self.placer.place_tasks(request, ticketed)
         if not is_placed:
-            self._blocked_counts[queue.name] += not is_new
+            self._blocked_counts[kind] += not is_new
             self._prepare_capacity(request)
 
     def _place_gang(
@@ -293,7 +301,7 @@
 
 
 def plan(
-    requests: abc.Iterable[placement.PlacementRequest],
+    requests: abc.Collection[placement.PlacementRequest],
     worker_fleet: fleet.Fleet,
     now: float,
     max_placements: float = math.inf,
@@ -307,6 +315,7 @@
     seconds, with a ticket that is still valid then.
     """
     new_plan = Plan()
+    turns = _choose_turns(requests)
     pass_by_service: dict[str, _ServicePass] = {}
     for request in requests:
         if len(new_plan.placements) >= max_placements:
@@ -321,12 +330,33 @@
                 max_placements=max_placements,
                 start_delay=start_delay,
             )
-            service_pass = _ServicePass(new_plan, placer)
+            service_pass = _ServicePass(new_plan, placer, turns)
             pass_by_service[service] = service_pass
         service_pass.place_group(request)
     return new_plan
 
 
+def _choose_turns(
+    requests: abc.Iterable[placement.PlacementRequest],
+) -> set[jobtable.Group]:
+    """Return the groups of each queue whose last try is the longest ago.
+
+    So each group is tried again and again, however many others wait, and a
+    group that was never tried is tried at once.
+    """
+    groups_by_queue: dict[str, list[jobtable.Group]] = {}
+    for request in requests:
+        groups_by_queue.setdefault(request.queue.name, []).append(request.group)
+    turns: set[jobtable.Group] = set()
+    for groups in groups_by_queue.values():
+        turns.update(
+            heapq.nsmallest(
+                MAX_BLOCKED_GROUPS, groups, key=lambda group: group.tried_at
+            )
+        )
+    return turns
+
+
 def _count_missing_approvals(
     request: placement.PlacementRequest,
     approved: abc.Sequence[fleet.Worker],
--- a/tests/cluster/test_planner.py
+++ b/tests/cluster/test_planner.py
@@ -31,6 +31,8 @@
 )
 PATIENT = attrs.evolve(TOLERANT, name='patient', rank=3)
 LARGE = jobspec.Demand(16_000, 100)
+SMALL = jobspec.Demand(1_000, 1)
+TOO_LARGE = jobspec.Demand(64_000, 100)
 
 
 def _fleet(count, **changes):
@@ -745,6 +747,85 @@
     _run_check(check)
 
 
+def _blocked_by_label(number):
+    """Return a group that requires a label that no worker has."""
+    step = jobspec.Step(1, SMALL, required_label='gone')
+    return TOLERANT, _group(f'b{number}', step)
+
+
+def _blocked_by_size(number):
+    return TOLERANT, _group(f'b{number}', jobspec.Step(1, TOO_LARGE))
+
+
+def _blocked_gang(number):
+    step = jobspec.Step(2, TOO_LARGE, gang=True)
+    return TOLERANT, _group(f'b{number}', step)
+
+
+def _blocked_by_advice(number):
+    """Return a group that is approved on a worker that is gone."""
+    group = _group(f'b{number}', jobspec.Step(1, SMALL), ADVISED)
+    group.tickets.queried_workers.update(('w0', 'w1', 'gone'))
+    group.tickets.approvals['gone'] = ('t', 1_000)
+    return ADVISED, group
+
+
+def _wait_for_placement(worker_fleet, blocked, last):
+    """Return the number of passes until the last group is placed."""
+    most_passes = len(blocked) // planner.MAX_BLOCKED_GROUPS + 2
+    for number in range(1, most_passes + 1):
+        requests = [
+            placement.PlacementRequest(*pair) for pair in (*blocked, last)
+        ]
+        if planner.plan(requests, worker_fleet, number).placements:
+            return number
+    raise AssertionError('the group was not placed')
+
+
+@pytest.mark.parametrize('count', [26, 500])
+@pytest.mark.parametrize(
+    'build_blocked',
+    [_blocked_by_label, _blocked_by_size, _blocked_gang, _blocked_by_advice],
+)
+def test_a_group_behind_many_that_never_fit_gets_its_turn(build_blocked, count):
+    """Guards against a pass that skips a queue for the first that do not fit.
+
+    The last group finds no room at first. Once a worker is idle it is placed
+    after a number of passes that grows with the groups ahead, and at once if
+    those need workers of another label. Seen in review/9.
+    """
+
+    def check():
+        worker_fleet = _fleet(2)
+        _use_cpu(worker_fleet, 32_000)
+        blocked = [build_blocked(number) for number in range(count)]
+        queue, _ = blocked[0]
+        group = _group('last', jobspec.Step(1, SMALL), queue)
+        group.tickets.queried_workers.update(worker_fleet.workers)
+        group.tickets.approvals['w1'] = ('t', 1_000)
+        assert not _plan(worker_fleet, *blocked, (queue, group)).placements
+        worker_fleet.workers['w1'].used_cpu = 0
+        passes = _wait_for_placement(worker_fleet, blocked, (queue, group))
+        assert passes == 1 or build_blocked is not _blocked_by_label
+
+    _run_check(check)
+
+
+def test_a_pass_tries_a_bounded_number_of_blocked_groups():
+    """Guards against passes whose cost grows with the work that waits."""
+
+    def check():
+        worker_fleet = _fleet(2)
+        blocked = [_blocked_by_size(number) for number in range(500)]
+        for now in (1, 2, 3):
+            requests = [placement.PlacementRequest(*pair) for pair in blocked]
+            planner.plan(requests, worker_fleet, now)
+            tried = sum(group.tried_at == now for _, group in blocked)
+            assert tried <= 2 * planner.MAX_BLOCKED_GROUPS
+
+    _run_check(check)
+
+
 @pytest.mark.parametrize(
     'changes',
     [
