Count a gang's failed run once, however many members fail (LOST)

Callers were shown a job as failed that had attempts left, when several members of one run of a gang ended failed together.

Cause: each member that ended failed added one to the failures of the gang, so a gang of four used four attempts with one run. The record for the next leader held the number alone, so ends that it read counted again.

The gang keeps the number of its last failed run, which all members share, and the record holds it. Ends of earlier runs are ignored already, and a gang starts only once none of its members has a run, so that number is enough.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/jobtable.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/jobtable.py
@@ -112,7 +112,8 @@
 class Group:
     """The tasks of one step in one occurrence of a job.
 
-    ``failures`` counts the failed runs of a gang, which fails as a whole.
+    ``failures`` counts the failed runs of a gang, which fails as a whole;
+    ``failed_run`` is the last of them.
     ``ready_at`` is when the steps before were done, None until then.
     ``tried_at`` is when a planning pass last tried to place it.
     ``full_runs`` are those of its tasks that ran from start to end at once.
@@ -124,6 +125,7 @@
     step: jobspec.Step
     tasks: list[Task] = attrs.field(factory=list)
     failures: int = 0
+    failed_run: int = 0
     done_count: int = 0
     placed_count: int = 0
     ready_at: float | None = None
@@ -332,7 +334,10 @@
     def _count_failure(self, task: Task, attempts: int) -> None:
         group = task.group
         if group.step.gang:
-            group.failures += 1
+            # Several members of one run may fail.
+            if task.run > group.failed_run:
+                group.failed_run = task.run
+                group.failures += 1
             failures = group.failures
         else:
             task.failures += 1
@@ -385,7 +390,9 @@
         return record
     for group in job.groups.values():
         if group.failures:
-            record.gangs[_group_key(group)] = group.failures
+            record.gangs[_group_key(group)] = progress.GangProgress(
+                group.failures, group.failed_run
+            )
         done_indices = []
         for task in group.tasks:
             if task.state is progress.TaskState.DONE:
@@ -440,7 +447,10 @@
 
 def _restore_group(group: Group, record: progress.Progress) -> None:
     key = _group_key(group)
-    group.failures = record.gangs.get(key, 0)
+    gang = record.gangs.get(key)
+    if gang is not None:
+        group.failures = gang.failures
+        group.failed_run = gang.failed_run
     for index in record.done.get(key, ()):
         group.tasks[index].state = progress.TaskState.DONE
         group.done_count += 1
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/progress.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/progress.py
@@ -51,19 +51,26 @@
     checkpoint: str
 
 
+class GangProgress(typing.NamedTuple):
+    """The record of a gang that has failed: how often, and in which run last."""
+
+    failures: int
+    failed_run: int
+
+
 @attrs.frozen
 class Progress:
     """A job's progress record.
 
     ``tasks`` is keyed by ``OCCURRENCE.STEP.INDEX``. ``gangs`` holds the
-    number of failures of each gang, ``done`` the indices of the tasks that
+    failures of each gang, ``done`` the indices of the tasks that
     are done; both are keyed by ``OCCURRENCE.STEP``. Once a job is over, its
     record holds only the state.
     """
 
     state: JobState
     tasks: dict[str, TaskProgress] = attrs.field(factory=dict)
-    gangs: dict[str, int] = attrs.field(factory=dict)
+    gangs: dict[str, GangProgress] = attrs.field(factory=dict)
     done: dict[str, list[int]] = attrs.field(factory=dict)
 
     def is_over(self) -> bool:
@@ -86,7 +93,7 @@
         document = {
             'state': self.state.value,
             'tasks': tasks,
-            'gangs': self.gangs,
+            'gangs': {key: tuple(row) for key, row in self.gangs.items()},
             'done': self.done,
         }
         body = orjson.dumps({
@@ -115,8 +122,8 @@
             for key, row in document.get('tasks', {}).items()
         },
         {
-            _check_key(key): decoding.to_count(failures)
-            for key, failures in document.get('gangs', {}).items()
+            _check_key(key): _decode_gang(row)
+            for key, row in document.get('gangs', {}).items()
         },
         {
             _check_key(key): [decoding.to_count(index) for index in indices]
@@ -132,6 +139,14 @@
     return key
 
 
+def _decode_gang(row: list | int) -> GangProgress:
+    """Decode a gang's row; earlier builds recorded the number alone."""
+    failures, failed_run = row if isinstance(row, list) else (row, 0)
+    return GangProgress(
+        decoding.to_count(failures), decoding.to_count(failed_run)
+    )
+
+
 def _decode_task(row: list) -> TaskProgress:
     state, run, worker, *rest = row
     incarnation, failures, checkpoint = rest
--- a/properties/test_messages.py
+++ b/properties/test_messages.py
@@ -364,7 +364,7 @@
                             progress.TaskState.PLACED, 2, 'i-1', 1788, 0, ''
                         )
                     },
-                    {'0.1': 1},
+                    {'0.1': progress.GangProgress(1, 2)},
                     {'0.0': [0, 1]},
                 ).encode()
             )
