Embedded scheduler: no team waits behind work that fits no worker

Found by reading; test_a_ticket_that_fits_no_worker_does_not_hold_up_its_team and test_a_lost_earmarked_worker_is_replaced failed on the code before.

A ticket that fits no owned worker, even an empty one, is set aside until a worker is added or may take work again, and is still handed over to peers and shown as waiting. Found beside it: after the loss of the worker that was kept free for a ticket, no other ticket got one.

--- a/packages/jujubebend/src/jujubebend/ledger.py
+++ b/packages/jujubebend/src/jujubebend/ledger.py
@@ -47,13 +47,18 @@
 
 @attrs.define
 class Ledger:
-    """Allocations on the owned workers, by an id that the caller chooses."""
+    """Allocations on the owned workers, by an id that the caller chooses.
+
+    ``room_revision`` changes when a demand may fit that fitted no worker before,
+    even an empty one.
+    """
 
     ejector: ejection.Ejector = attrs.field(factory=ejection.Ejector)
     owned_workers: dict[str, OwnedWorker] = attrs.field(factory=dict)
     allocations: dict[str, Allocation] = attrs.field(factory=dict)
     total_capacity: resources.Resources = resources.NOTHING
     earmarked_worker: str = ''
+    room_revision: int = 0
     _index: placement.Index = attrs.field(factory=placement.Index)
     _ranked_durations: dict[str, float] = attrs.field(factory=dict)
 
@@ -61,6 +66,7 @@
         """Add an owned worker."""
         self.owned_workers[worker.name] = worker
         self.total_capacity += worker.capacity
+        self.room_revision += 1
         self._index.racks[worker.name] = worker.rack
         self.reindex()
 
@@ -156,6 +162,7 @@
             return
         worker.leased = leased
         worker.leaving = leaving
+        self.room_revision += 1
         self._update_index(worker)
 
     def record_duration_ratio(self, name: str, ratio: float) -> None:
--- a/packages/jujubebend/src/jujubebend/queue.py
+++ b/packages/jujubebend/src/jujubebend/queue.py
@@ -61,13 +61,32 @@
     """Waiting tickets of one team within one kind, by deadline.
 
     ``size`` counts only tickets that still wait. The heap may also hold
-    removed tickets, which are dropped when they reach its head.
+    removed tickets, which are dropped when they reach its head. Those that fit
+    no owned worker, even an empty one, are set aside in ``oversized``, by ID.
     """
 
     team: str
     sort_key: tuple[float, str] = (0, '')
     size: int = 0
     heap: list[tuple[float, int, Ticket]] = attrs.field(factory=list)
+    oversized: dict[str, tuple[float, int, Ticket]] = attrs.field(factory=dict)
+
+    def entries(self) -> list[tuple[float, int, Ticket]]:
+        in_heap = (entry for entry in self.heap if entry[2].is_waiting)
+        return [*self.oversized.values(), *in_heap]
+
+    def first(self) -> Ticket | None:
+        entry = min(self.entries(), default=None)
+        return entry[2] if entry else None
+
+    def set_head_aside(self) -> None:
+        entry = heapq.heappop(self.heap)
+        self.oversized[entry[2].id] = entry
+
+    def put_oversized_back(self) -> None:
+        for entry in self.oversized.values():
+            heapq.heappush(self.heap, entry)
+        self.oversized.clear()
 
     def head(self) -> Ticket | None:
         while self.heap and not self.heap[0][2].is_waiting:
@@ -79,11 +98,9 @@
 
         Only the first ``HANDOVER_SEARCH_LIMIT`` entries are searched.
         """
-        first_entries = heapq.nsmallest(HANDOVER_SEARCH_LIMIT, self.heap)
+        first_entries = heapq.nsmallest(HANDOVER_SEARCH_LIMIT, self.entries())
         candidates = (
-            ticket
-            for _, _, ticket in first_entries
-            if ticket.is_waiting and not ticket.is_from_peer
+            ticket for _, _, ticket in first_entries if not ticket.is_from_peer
         )
         return next(candidates, None)
 
@@ -133,6 +150,7 @@
     _has_urgent_kinds: bool = False
     _sequence: abc.Iterator[int] = attrs.field(factory=itertools.count)
     _earmarked_ticket: Ticket | None = None
+    _room_revision: int = 0
 
     def configure(self, config: manifest.Manifest) -> None:
         """Apply the kinds and teams of the operator configuration."""
@@ -210,9 +228,11 @@
         """Place the next ticket that fits and allocate capacity to it.
 
         Tickets that do not fit are skipped. Once a skipped ticket has waited
-        for ``EARMARK_AFTER_SECONDS``, a worker is kept free for it. Returns
-        None if no ticket can be placed.
+        for ``EARMARK_AFTER_SECONDS``, a worker is kept free for it. The other
+        tickets of its team wait behind it, unless it fits no owned worker even
+        if that is empty. Returns None if no ticket can be placed.
         """
+        self._put_oversized_back()
         unplaced: list[tuple[type, resources.Resources]] = []
         kind_queues = [
             kind_queue
@@ -268,7 +288,7 @@
             key=self._kind_sort_key,
         )
         heads = (
-            team_queue.head()
+            team_queue.first()
             for kind_queue in kind_queues
             for team_queue in kind_queue.serving_order
         )
@@ -321,9 +341,23 @@
         now: float,
         unplaced: list[tuple[type, resources.Resources]],
     ) -> Placed | None:
-        ticket = team_queue.head()
-        if ticket is None or not self._is_within_limits(kind_queue, ticket):
-            return None
+        while True:
+            ticket = team_queue.head()
+            if ticket is None or not self._is_within_limits(kind_queue, ticket):
+                return None
+            worker = self._find_worker(ticket, now, unplaced)
+            if worker:
+                return self._place_ticket(kind_queue, ticket, worker, now)
+            if self.worker_ledger.fits_empty_worker(ticket.demand):
+                return None
+            team_queue.set_head_aside()
+
+    def _find_worker(
+        self,
+        ticket: Ticket,
+        now: float,
+        unplaced: list[tuple[type, resources.Resources]],
+    ) -> str:
         policy_type = type(ticket.placement_policy)
         is_earmarked = self._earmarked_ticket is ticket
         # A demand at least as large as one that did not fit does not fit.
@@ -331,7 +365,7 @@
             policy_type is unplaced_type and unplaced_demand.fits(ticket.demand)
             for unplaced_type, unplaced_demand in unplaced
         ):
-            return None
+            return ''
         worker = self.worker_ledger.find_worker(
             ticket.placement_policy,
             ticket.demand,
@@ -341,8 +375,16 @@
         if not worker:
             unplaced.append((policy_type, ticket.demand))
             self._earmark_if_overdue(ticket, now)
-            return None
-        return self._place_ticket(kind_queue, ticket, worker, now)
+        return worker
+
+    def _put_oversized_back(self) -> None:
+        """Try tickets again that may fit a worker since that was added."""
+        if self._room_revision == self.worker_ledger.room_revision:
+            return
+        self._room_revision = self.worker_ledger.room_revision
+        for kind_queue in self._kind_queues.values():
+            for team_queue in kind_queue.team_queues.values():
+                team_queue.put_oversized_back()
 
     def _place_ticket(
         self, kind_queue: _KindQueue, ticket: Ticket, worker: str, now: float
@@ -355,7 +397,7 @@
         return Placed(ticket, worker)
 
     def _earmark_if_overdue(self, ticket: Ticket, now: float) -> None:
-        if self._earmarked_ticket is not None:
+        if self.worker_ledger.earmarked_worker:
             return
         if now - ticket.queued_at < EARMARK_AFTER_SECONDS:
             return
@@ -434,6 +476,7 @@
         self.tickets.pop(ticket.id)
         kind_queue = self._kind_queue(ticket.kind)
         team_queue = kind_queue.team_queues[ticket.team]
+        team_queue.oversized.pop(ticket.id, None)
         team_queue.size -= 1
         kind_queue.size -= 1
         if not team_queue.size:
@@ -452,9 +495,7 @@
     def _shed_newest_ticket(self, kind_queue: _KindQueue) -> Ticket | None:
         team_queue = self._largest_team_queue(kind_queue)
         sheddable_entries = (
-            entry
-            for entry in team_queue.heap
-            if entry[2].is_waiting and entry[2].is_sheddable
+            entry for entry in team_queue.entries() if entry[2].is_sheddable
         )
         newest_entry = max(
             sheddable_entries, key=lambda entry: entry[1], default=None
--- a/tests/jujubebend/test_queue.py
+++ b/tests/jujubebend/test_queue.py
@@ -119,6 +119,61 @@
     assert 'large' in [ticket.id for ticket in placed]
 
 
+def test_a_ticket_that_fits_no_worker_does_not_hold_up_its_team(fair_queue):
+    """Guards against a team that waits for a worker that was lost.
+
+    The large tickets are first again once such a worker is added.
+    """
+    size = resources.Resources(16, 64)
+    for number in range(20):
+        _add_ticket(fair_queue, f'large{number}', demand=size)
+    _add_ticket(fair_queue, 'small')
+    assert [ticket.id for ticket in _place_all(fair_queue)] == ['small']
+    _add_ticket(fair_queue, 'later')
+    fair_queue.worker_ledger.add(ledger.OwnedWorker('w2', 'rack', size))
+    placed = _place_all(fair_queue)
+    assert [ticket.id for ticket in placed] == ['large0']
+
+
+def test_tickets_that_fit_no_worker_are_all_handed_over():
+    """Guards against a host without workers that keeps a part of its tickets.
+
+    Those handed over count no longer, however many they are.
+    """
+    fair_queue = queue.FairQueue(ledger.Ledger())
+    fair_queue.configure(MANIFEST)
+    for number in range(3 * queue.HANDOVER_SEARCH_LIMIT):
+        _add_ticket(fair_queue, f't{number}', kind='other')
+    assert not _place_all(fair_queue)
+    while fair_queue.tickets:
+        assert fair_queue.handover_candidates()
+        assert fair_queue.take_for_peer('other', 'one', SLOT)
+    assert not fair_queue.handover_candidates()
+
+
+def test_a_lost_earmarked_worker_is_replaced(fair_queue):
+    """Guards against tickets that get no worker kept free for them.
+
+    The worker that was kept for a large ticket is lost, and no other is large
+    enough for it.
+    """
+    size = resources.Resources(16, 64)
+    worker_ledger = fair_queue.worker_ledger
+    worker_ledger.add(ledger.OwnedWorker('w2', 'rack', size))
+    _add_ticket(fair_queue, 'first', kind='quick', demand=size)
+    _place_all(fair_queue)
+    overdue = queue.EARMARK_AFTER_SECONDS + 1
+    _add_ticket(fair_queue, 'large', kind='quick', demand=size)
+    assert not _place_all(fair_queue, now=overdue)
+    assert worker_ledger.earmarked_worker == 'w2'
+    worker_ledger.remove('w2')
+    whole = resources.Resources(8, 64)
+    for number in range(3):
+        _add_ticket(fair_queue, f'b{number}', kind='quick', demand=whole)
+    assert len(_place_all(fair_queue, now=overdue)) == 2
+    assert worker_ledger.earmarked_worker
+
+
 def test_ticket_from_peer_is_not_handed_over_again(fair_queue):
     peer_ticket, _ = _add_ticket(fair_queue, 'guest')
     peer_ticket.is_from_peer = True
