Give a group its turn when it gets tickets, before they expire

With a turn of its own, a group whose tickets have expired asks for advice and waits for the next turn, which may come after the new tickets have expired, and so on for good. New tickets now count as if the group had never been tried, so a pass that follows tries it.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/adviceclient.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/adviceclient.py
@@ -167,6 +167,8 @@
         tickets.queried_workers.update(names)
         for name, ticket in approved_tickets.items():
             tickets.approvals[name] = (ticket, expires_at)
+        # The tickets expire soon, so the group is tried in the next pass.
+        group.tried_at = -math.inf
         logs.decision(
             'advice',
             job=group.job.spec.job,
--- a/tests/cluster/test_planner.py
+++ b/tests/cluster/test_planner.py
@@ -811,6 +811,38 @@
     _run_check(check)
 
 
+def test_a_group_that_gets_tickets_is_tried_before_they_expire():
+    """Guards against tickets that expire while the group waits for its turn."""
+
+    async def main():
+        worker_fleet = _fleet(2)
+        group = _group('last', jobspec.Step(1, SMALL), ADVISED)
+        group.tickets.queried_workers.add('w1')
+        group.tickets.approvals['w1'] = ('old', 1)
+        blocked = [_blocked_by_advice(number) for number in range(500)]
+        requests = [
+            placement.PlacementRequest(*pair)
+            for pair in (*blocked, (ADVISED, group))
+        ]
+        for request in requests:
+            request.group.tried_at = 2
+        await adviceclient.AdviceClient().request_tickets(
+            group,
+            ADVISED.advice,
+            adviceclient.AdviceCall(
+                adviceclient.AdviceRoute('h', _approve_all),
+                [worker_fleet.workers['w1']],
+            ),
+        )
+        assert planner.plan(requests, worker_fleet, 3).placements
+
+    virtualtime.run(main)
+
+
+async def _approve_all(step, names, timeout):
+    return dict.fromkeys(names, 'ticket')
+
+
 def test_a_pass_tries_a_bounded_number_of_blocked_groups():
     """Guards against passes whose cost grows with the work that waits."""
 
