--- a/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/planner.py
@@ -36,9 +36,9 @@
 # A gang has enough approved workers once they could run this multiple of its
 # tasks.
 APPROVED_CAPACITY_FACTOR = 8.0
-# Groups of one queue, and of one label that they require, that a pass tries to
-# place without success before it skips the others. Of all groups of the queue
-# it tries as many whose last try is the longest ago.
+# Groups of one queue that require the same label, which a pass tries to place
+# without success before it skips the others; also the number of a queue's
+# groups whose turn it is in a pass.
 MAX_BLOCKED_GROUPS = 20
 # The size of a service without listed workers.
 UNKNOWN_SIZE = fleet.ServiceSize()
@@ -71,7 +71,9 @@
 class _ServicePass:
     """The part of a planning pass that concerns one service.
 
-    ``turns`` are the groups that the pass does not skip.
+    ``turns`` are the groups whose turn it is: they are tried in any case.
+    ``_blocked_counts`` counts the groups that found no room, by queue and by
+    required label.
     """
 
     plan: Plan
@@ -91,12 +93,12 @@
         without delay.
         """
         queue = request.queue
-        kind = (queue.name, request.step.required_label)
+        key = (queue.name, request.step.required_label)
         is_new = (
             queue.advice is not None
             and not request.group.tickets.queried_workers
         )
-        is_limited = self._blocked_counts[kind] >= MAX_BLOCKED_GROUPS
+        is_limited = self._blocked_counts[key] >= MAX_BLOCKED_GROUPS
         if is_limited and not is_new and request.group not in self.turns:
             return
         request.group.tried_at = self.placer.now
@@ -106,7 +108,7 @@
         else:
             is_placed = self.placer.place_tasks(request, ticketed)
         if not is_placed:
-            self._blocked_counts[kind] += not is_new
+            self._blocked_counts[key] += not is_new
             self._prepare_capacity(request)
 
     def _place_gang(
--- a/packages/jujubebend-http/src/jujubebend_http/httpclient.py
+++ b/packages/jujubebend-http/src/jujubebend_http/httpclient.py
@@ -20,11 +20,17 @@
 
 @attrs.frozen
 class PinnedBody:
-    """A body that may only be sent on one connection of a client.
+    """A body for one connection of a client, by the number in a reply.
 
-    A connection ends with the process that serves it. So a request on the
-    ``connection`` that a reply came on reaches the process that sent the reply,
-    or none, while a new connection may reach a later process.
+    A connection ends with the process that serves it, so a request on the
+    connection of a reply reaches the process that sent the reply, or none. A new
+    connection may reach a later process at the same address.
+
+        reply = await client.call('GET', '/', timeout=1)
+        pinned_body = PinnedBody(reply.connection, b'for that process')
+        await client.call(
+            'POST', '/', b'for any', timeout=1, pinned_body=pinned_body
+        )
     """
 
     connection: int
