Emulator: a crashed worker loses what it has received

The leader's log: the ends 1 to 6 of the new incarnation of i- are never listed; 6 is the last number of the one before, acknowledged by a renewal that was sent 10 ms before the crash. The emulator went on serving the connections of a crashed worker, so the renewal could be read after the crash, by the new incarnation. A process loses its connections and what it has received on them, so this is no fault of the daemon, which cannot know.

A crash now ends the worker's server and starts another one on its port; its relay keeps the connections silent. The new test failed before: a request to the crashed worker was carried out by its next incarnation.

--- a/packages/jujubebend-standin/src/jujubebend_standin/emulator/localcluster.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/emulator/localcluster.py
@@ -141,6 +141,7 @@
     relays: list[relay.Relay] = attrs.field(factory=list)
     _addresses: dict[str, str] = attrs.field(factory=dict)
     _worker_relays: dict[str, relay.Relay] = attrs.field(factory=dict)
+    _worker_servers: dict[str, httpserver.Server] = attrs.field(factory=dict)
     _machine_address: str = ''
     _servers: list[httpserver.Server] = attrs.field(factory=list)
 
@@ -175,8 +176,9 @@
             f'i-{len(self.workers):08x}', cpu
         )
         self.workers.append(emulated_worker)
-        address = await self._start_server(emulated_worker.handle)
-        tcp_relay = await self._start_relay(address)
+        server = await self._serve(emulated_worker.handle)
+        tcp_relay = await self._start_relay(f'{LOOPBACK}:{server.port}')
+        self._worker_servers[emulated_worker.name] = server
         self._worker_relays[emulated_worker.name] = tcp_relay
         self._addresses[emulated_worker.name] = _relay_address(tcp_relay)
         self.write_worker_entry(emulated_worker)
@@ -212,14 +214,22 @@
         }
         self.store.put(f'servers/{emulated_worker.name}', entry)
 
-    def crash_worker(self, emulated_worker: worker.EmulatedWorker) -> None:
+    async def crash_worker(
+        self, emulated_worker: worker.EmulatedWorker
+    ) -> None:
         """Crash a worker, which starts again under its ID at once.
 
-        Its connections go silent for good. New ones reach the new incarnation,
-        whose entry is not written yet.
+        Its connections go silent for good, and what was sent on them is lost.
+        New ones reach the new incarnation, whose entry is not written yet.
         """
+        name = emulated_worker.name
+        self._worker_relays[name].blackhole_connections()
+        server = self._worker_servers[name]
+        await server.stop(0)
         emulated_worker.crash()
-        self._worker_relays[emulated_worker.name].blackhole_connections()
+        self._worker_servers[name] = await self._serve(
+            emulated_worker.handle, server.port
+        )
 
     async def stop(self) -> None:
         """Kill the daemons, then stop the platform."""
@@ -238,10 +248,16 @@
         return tcp_relay
 
     async def _start_server(self, handler: httpserver.Handler) -> str:
+        server = await self._serve(handler)
+        return f'{LOOPBACK}:{server.port}'
+
+    async def _serve(
+        self, handler: httpserver.Handler, port: int = 0
+    ) -> httpserver.Server:
         server = httpserver.Server(handler)
-        await server.start(LOOPBACK, 0)
+        await server.start(LOOPBACK, port)
         self._servers.append(server)
-        return f'{LOOPBACK}:{server.port}'
+        return server
 
     def _create_host(self, name: str, store_address: str) -> Host:
         first = ports.find_free_port_range(PORTS_PER_HOST)
--- a/packages/jujubebend-standin/src/jujubebend_standin/emulator/soak.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/emulator/soak.py
@@ -227,7 +227,7 @@
 
     async def _worker_reborn(self) -> None:
         emulated_worker = self._choose_worker()
-        self.cluster.crash_worker(emulated_worker)
+        await self.cluster.crash_worker(emulated_worker)
         self.cluster.write_worker_entry(emulated_worker)
 
 
--- a/packages/jujubebend-standin/src/jujubebend_standin/relay.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/relay.py
@@ -141,6 +141,20 @@
         finally:
             target_writer.close()
 
+    async def _read_bytes(
+        self, task: asyncio.Task, reader: asyncio.StreamReader
+    ) -> bytes:
+        """Read bytes; a silent connection does not tell that one side ended."""
+        try:
+            received = await reader.read(READ_BYTES)
+        except OSError:
+            if task not in self._blackholed:
+                raise
+            received = b''
+        if task in self._blackholed:
+            await _wait_for_reset()
+        return received
+
     async def _copy_bytes(
         self,
         task: asyncio.Task,
@@ -148,14 +162,18 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        while received := await reader.read(READ_BYTES):
+        while received := await self._read_bytes(task, reader):
             if self.delay:
                 await asyncio.sleep(self.delay)
             await self._is_forwarding[direction].wait()
             if task in self._blackholed:
-                # Waits until the connection is reset or the relay stops.
-                await asyncio.Event().wait()
+                await _wait_for_reset()
             writer.write(received)
             await writer.drain()
         if writer.can_write_eof():
             writer.write_eof()
+
+
+async def _wait_for_reset() -> None:
+    """Wait until the connection is reset or the relay stops."""
+    await asyncio.Event().wait()
--- a/tests/emulator/test_worker_faults.py
+++ b/tests/emulator/test_worker_faults.py
@@ -6,7 +6,10 @@
 
 import pytest
 
-from jujubebend_standin.emulator import checks, worker
+from jujubebend import errors
+from jujubebend_adapter import workers
+from jujubebend_cluster import interfaces
+from jujubebend_standin.emulator import checks, localcluster, worker
 from tests.emulator import harness
 
 TIME_LIMIT_S = 40
@@ -19,6 +22,37 @@
 SILENCE_S = 3.5  # shorter than a lease
 
 
+def test_a_request_to_a_crashed_worker_does_not_reach_its_next_incarnation(
+    tmp_path, monkeypatch
+):
+    """Guards against emulated crashes that leave requests to be carried out.
+
+    A process loses what it has received. An acknowledgement that the emulator
+    kept made the soak find a task that ran twice, with seed 703.
+    """
+    monkeypatch.setattr(worker, 'HANG_SECONDS', 0.3)
+
+    async def main():
+        cluster = localcluster.LocalCluster(tmp_path)
+        emulated_worker = await cluster._add_worker(8_000)
+        emulated_worker.faults.silent = True
+        client = workers.Worker(
+            emulated_worker.name, cluster._addresses[emulated_worker.name]
+        )
+        no_ends = interfaces.Acknowledgement()
+        call = asyncio.create_task(client.renew_leases(7, no_ends, None, 0))
+        await asyncio.sleep(0.1)
+        await cluster.crash_worker(emulated_worker)
+        emulated_worker.faults = worker.WorkerFaults()
+        await asyncio.sleep(0.5)
+        assert not emulated_worker.fencing_token
+        with pytest.raises(errors.UnreachableError):
+            await call
+        await cluster.stop()
+
+    asyncio.run(main())
+
+
 async def _wait_until_started(emulated_worker, count):
     while len(emulated_worker.runs) < count:
         await asyncio.sleep(0.01)
@@ -50,7 +84,7 @@
             await load.submit_job(EARLIER_TASKS, 1_000, 0.1)
             await load.wait_until_ended()
             emulated_worker = cluster.workers[0]
-            cluster.crash_worker(emulated_worker)
+            await cluster.crash_worker(emulated_worker)
             await load.submit_job(TASKS, 1_000, TASK_S)
             await _wait_until_started(emulated_worker, EARLIER_TASKS + TASKS)
             cluster.write_worker_entry(emulated_worker)
