Log which incarnation an order was meant for, and strays of done tasks

A run of a task that is done was passed over without a line when a worker listed it. Lines start, start_unanswered, ended and released have born now, and such a run gets the line stray_of_done_task. Behaviour is unchanged.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
@@ -93,6 +93,7 @@
             task.name,
             task.run,
             worker.name,
+            born=task.incarnation,
             why=why,
         )
         if task.group.step.gang:
@@ -185,6 +186,7 @@
         task.name,
         task.run,
         worker.name,
+        born=task.incarnation,
         token=worker.token,
         report_age=round(status_age, 3),
         free_cpu=worker.entry.capacity.cpu_milli - worker.used_cpu,
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/reconciler.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/reconciler.py
@@ -110,6 +110,7 @@
             end.task,
             end.run,
             worker.name,
+            born=worker.incarnation,
             how=end.outcome.value,
             number=end.number,
             seconds=round(now - task.placed_at, 3),
@@ -214,6 +215,13 @@
         ):
             # The gang is done because another member ended. This member ends
             # by itself.
+            logs.run_decision(
+                'stray_of_done_task',
+                active_run.task,
+                active_run.run,
+                worker.name,
+                born=worker.incarnation,
+            )
             return
         worker.no_placements_until = (
             clock.now() + workercontroller.RENEWAL_WAIT_S
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
@@ -164,6 +164,7 @@
                     task.name,
                     run,
                     self.worker.name,
+                    born=task.incarnation,
                     why=str(exc),
                 )
                 continue
