Bind every call under a worker's lease to the boot that granted it

What callers would see: "not run" for a request that did run, and, for a keyed request or a job's task, a second execution; a worker with two owners, of which the former takes the ends that the latter waits for; a lease that ends early.

Cause: the epochs of a worker's lease start anew when it restarts, so the first lease of every incarnation has epoch 1. Only /v1/start carried the boot. /v1/sync, /v1/settle, /v1/stop, /v1/throttle and /v1/release under epoch 1 of one incarnation were therefore accepted by the next one. The worst is settle: if the answer to a start is lost and the worker restarts, the next incarnation reports the attempt as absent, and the owner concluded from it that the attempt never ran.

A start was refused before as well, with 422; it now gets the same 409 as the other calls, and the owner takes both as not run.

Why the fix works: the worker compares the boot before the epoch. A boot is never used again, so a call reaches the incarnation that granted its lease, or has no effect, however late it arrives. Acquiring carries no boot: it is the call that learns it.

--- a/packages/jujubebend-entry/src/jujubebend_entry/owner.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/owner.py
@@ -287,8 +287,9 @@
         worker_lease = self.worker_leases.get(worker_name)
         if worker_lease is None or worker_lease.held_lease is None:
             raise errors.UnreachableError(NO_LEASE_REASON)
+        held_lease = worker_lease.held_lease
         await worker_lease.client.stop(
-            worker_lease.held_lease.epoch, attempt, checkpoint=checkpoint
+            held_lease.epoch, held_lease.boot, attempt, checkpoint=checkpoint
         )
 
     async def inspect(
@@ -301,10 +302,10 @@
         worker_lease = self.worker_leases.get(open_intent.worker)
         if worker_lease is None or worker_lease.held_lease is None:
             raise errors.UnreachableError(NO_LEASE_REASON)
-        epoch = worker_lease.held_lease.epoch
+        held_lease = worker_lease.held_lease
         try:
             report, ended_task = await worker_lease.client.settle(
-                epoch, open_intent.attempt
+                held_lease.epoch, held_lease.boot, open_intent.attempt
             )
         except worker.StaleLeaseError as exc:
             raise errors.UnreachableError(str(exc)) from exc
@@ -582,7 +583,7 @@
             assert held_lease is not None
             try:
                 report, _ = await worker_lease.client.settle(
-                    held_lease.epoch, attempt.task.attempt
+                    held_lease.epoch, held_lease.boot, attempt.task.attempt
                 )
             except worker.StaleLeaseError:
                 return None
--- a/packages/jujubebend-entry/src/jujubebend_entry/workerlease.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/workerlease.py
@@ -75,7 +75,7 @@
         if held_lease is None:
             return
         try:
-            await self.client.release(held_lease.epoch)
+            await self.client.release(held_lease.epoch, held_lease.boot)
         except errors.JujubebendError:
             return
 
@@ -112,7 +112,7 @@
         acks = self.pending_acks.copy()
         wait = 0 if acks else self.ttl / RENEWALS_PER_TTL
         reply = await self.client.renew_lease(
-            held_lease.epoch, self.ttl, acks, wait
+            held_lease.epoch, held_lease.boot, self.ttl, acks, wait
         )
         self.is_reachable = True
         held_lease.record_renewal(
--- a/packages/jujubebend-platform/src/jujubebend_platform/worker.py
+++ b/packages/jujubebend-platform/src/jujubebend_platform/worker.py
@@ -105,7 +105,7 @@
 
 
 class StaleLeaseError(errors.JujubebendError):
-    """The worker refused a call because its epoch is not the lease's."""
+    """The worker refused a call that is not under its current lease."""
 
 
 class Worker(typing.Protocol):
@@ -113,20 +113,22 @@
 
     Every call raises ``errors.UnreachableError`` if there is no answer and
     ``StaleLeaseError`` if its epoch is not the epoch of the current lease.
+    Epochs start anew when the worker restarts, so a call under a lease also
+    carries the ``boot`` that granted it, and is stale in any other.
     """
 
     async def acquire_lease(self, holder: str, ttl: float) -> LeaseReply | None:
         """Acquire the lease; return None while another owner holds it."""
 
     async def renew_lease(
-        self, epoch: int, ttl: float, acks: list[str], wait: float
+        self, epoch: int, boot: str, ttl: float, acks: list[str], wait: float
     ) -> RenewalReply:
         """Renew the lease, acknowledge ended tasks and return changes.
 
         Waits up to ``wait`` seconds for a task to end.
         """
 
-    async def release(self, epoch: int) -> None:
+    async def release(self, epoch: int, boot: str) -> None:
         """Release the lease."""
 
     async def start(self, epoch: int, boot: str, task: TaskStart) -> None:
@@ -136,21 +138,25 @@
         """
 
     async def settle(
-        self, epoch: int, attempt: str
+        self, epoch: int, boot: str, attempt: str
     ) -> tuple[intent.Report, EndedTask | None]:
         """Return the worker's report on an attempt, and its end if any.
 
         The worker refuses to start an unknown attempt from then on.
         """
 
-    async def stop(self, epoch: int, attempt: str, *, checkpoint: bool) -> None:
+    async def stop(
+        self, epoch: int, boot: str, attempt: str, *, checkpoint: bool
+    ) -> None:
         """Stop a task.
 
         With ``checkpoint``, a task that supports checkpoints saves one
         first.
         """
 
-    async def throttle(self, epoch: int, attempt: str, share: float) -> None:
+    async def throttle(
+        self, epoch: int, boot: str, attempt: str, share: float
+    ) -> None:
         """Limit a task to a share of its processors."""
 
     async def close(self) -> None:
@@ -191,11 +197,12 @@
         return converter.structure(reply.json(), LeaseReply)
 
     async def renew_lease(
-        self, epoch: int, ttl: float, acks: list[str], wait: float
+        self, epoch: int, boot: str, ttl: float, acks: list[str], wait: float
     ) -> RenewalReply:
         """Renew the lease and wait for ended tasks (long poll)."""
         body = {
             'epoch': epoch,
+            'boot': boot,
             'ttl_ms': round(ttl * 1000),
             'acks': acks,
             'wait_ms': round(wait * 1000),
@@ -203,9 +210,9 @@
         reply = await self._call('/v1/sync', body, wait=wait)
         return converter.structure(reply.json(), RenewalReply)
 
-    async def release(self, epoch: int) -> None:
+    async def release(self, epoch: int, boot: str) -> None:
         """Release the lease."""
-        await self._call('/v1/release', {'epoch': epoch})
+        await self._call('/v1/release', {'epoch': epoch, 'boot': boot})
 
     async def start(self, epoch: int, boot: str, task: TaskStart) -> None:
         """Start a task."""
@@ -216,10 +223,10 @@
             raise errors.RefusedError(reply.json()['title'])
 
     async def settle(
-        self, epoch: int, attempt: str
+        self, epoch: int, boot: str, attempt: str
     ) -> tuple[intent.Report, EndedTask | None]:
         """Return the worker's report on an attempt, and its end if any."""
-        body = {'epoch': epoch, 'attempt': attempt}
+        body = {'epoch': epoch, 'boot': boot, 'attempt': attempt}
         reply = await self._call('/v1/settle', body)
         document = reply.json()
         report = intent.Report(
@@ -233,14 +240,28 @@
             return report, None
         return report, converter.structure(ended, EndedTask)
 
-    async def stop(self, epoch: int, attempt: str, *, checkpoint: bool) -> None:
+    async def stop(
+        self, epoch: int, boot: str, attempt: str, *, checkpoint: bool
+    ) -> None:
         """Stop a task."""
-        body = {'epoch': epoch, 'attempt': attempt, 'checkpoint': checkpoint}
+        body = {
+            'epoch': epoch,
+            'boot': boot,
+            'attempt': attempt,
+            'checkpoint': checkpoint,
+        }
         await self._call('/v1/stop', body)
 
-    async def throttle(self, epoch: int, attempt: str, share: float) -> None:
+    async def throttle(
+        self, epoch: int, boot: str, attempt: str, share: float
+    ) -> None:
         """Limit a task to a share of its processors."""
-        body = {'epoch': epoch, 'attempt': attempt, 'share': share}
+        body = {
+            'epoch': epoch,
+            'boot': boot,
+            'attempt': attempt,
+            'share': share,
+        }
         await self._call('/v1/throttle', body)
 
     async def close(self) -> None:
--- a/packages/jujubebend-standin/src/jujubebend_standin/worker.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/worker.py
@@ -59,7 +59,8 @@
 
     ``boot`` identifies this incarnation of the worker. ``record`` is a file
     that events are also appended to. ``overfilled`` counts starts rejected
-    for lack of capacity, ``refused_stale`` requests with a stale epoch.
+    for lack of capacity, ``refused_stale`` requests with a stale
+    epoch or boot.
     """
 
     name: str
@@ -117,6 +118,7 @@
     ) -> httpmessage.Reply:
         if path == '/v1/lease':
             return self._grant_lease(body)
+        self._check_boot(body['boot'])
         if path == '/v1/release':
             self._grantor.release(body['epoch'], time.monotonic())
             return httpmessage.json_reply(http.HTTPStatus.OK, {})
@@ -139,6 +141,14 @@
             http.HTTPStatus.NOT_FOUND, 'path not found'
         )
 
+    def _check_boot(self, boot: str) -> None:
+        """Raise if a call is meant for another incarnation of the worker."""
+        if boot != self.boot:
+            raise lease.StaleEpochError(
+                'the worker has restarted since it granted the lease; '
+                'acquire it again',
+            )
+
     def _grant_lease(self, body: dict) -> httpmessage.Reply:
         grant = self._grantor.acquire(
             body['holder'], body['ttl_ms'] / MS_PER_SECOND, time.monotonic()
@@ -200,10 +210,6 @@
 
     def _start_attempt(self, body: dict) -> httpmessage.Reply:
         task = worker.converter.structure(body['task'], worker.TaskStart)
-        if body['boot'] != self.boot:
-            raise errors.RefusedError(
-                'the worker has restarted since the start was planned'
-            )
         if task.attempt in self._refused:
             raise errors.RefusedError(
                 'the attempt was refused earlier and may not start'
--- a/packages/jujubebend/src/jujubebend/lease.py
+++ b/packages/jujubebend/src/jujubebend/lease.py
@@ -2,7 +2,8 @@
 
 A worker has one owner at a time. ``Grantor`` runs on the worker: it grants
 the lease under an epoch that only increases, and rejects requests that carry
-another epoch. ``HeldLease`` is the owner's side. It counts the lease from the
+another epoch. After a restart of the worker the epochs start anew, so a lease
+is identified by its epoch and the worker's boot together. ``HeldLease`` is the owner's side. It counts the lease from the
 time the request was sent, so that the lease expires for the owner no later
 than for the worker.
 """
--- a/tests/entry/test_owner.py
+++ b/tests/entry/test_owner.py
@@ -42,16 +42,16 @@
         if self.start_error is not None:
             raise self.start_error
 
-    async def settle(self, epoch, attempt):
+    async def settle(self, epoch, boot, attempt):
         state = intent.AttemptState.ABSENT
         if attempt in self.started:
             state = intent.AttemptState.RUNNING
         return intent.Report('boot', epoch, state, refused=True), None
 
-    async def stop(self, epoch, attempt, *, checkpoint):
+    async def stop(self, epoch, boot, attempt, *, checkpoint):
         """Do nothing; no task runs."""
 
-    async def release(self, epoch):
+    async def release(self, epoch, boot):
         """Do nothing; no lease is held."""
 
     async def close(self):
