Let only the holder of a shard confirm a report on an attempt it does not know

What callers would see: a keyed request or a job's task that ended runs a second time; or a running task is stopped although nobody cancelled it.

Cause: the owner of a worker reports to the host that it takes for the holder of the shard. A host that was replaced as the holder notices it only at its next write. If it got the report in between, it did not find the attempt, which its successor had recorded, and confirmed that the owner may forget it. The owner then let the worker forget the end, so the successor found the attempt absent in the same boot and settled it as one that never ran. A reported task that still ran was stopped.

Evidence, before the fix, in tests/entry/test_attempts.py: test_former_holder_confirms_no_report failed for an end and for a running task with "assert not True", and so did test_report_of_closed_attempt_is_confirmed_once_the_store_answers, in which the store is down and the host cannot know whether it was replaced.

Why the fix works: a report on an attempt that is not open is confirmed only after a commit without entries. Its compare-and-swap fails if another host has claimed the shard, and the owner then repeats the report.

--- a/packages/jujubebend-entry/src/jujubebend_entry/attempts.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/attempts.py
@@ -109,10 +109,13 @@
         Returns whether the owner may forget the attempt: it is not open or
         its outcome has been recorded. Empty ``outcome_fields`` report an
         attempt that runs; the owner stops it if it may be forgotten.
+
+        An attempt that is not open here may be one of the next holder's, so
+        it may be forgotten only if this host turns out to hold the shard.
         """
         location = self.shard.records.by_attempt.get(attempt)
         if location is None:
-            return True
+            return await self._verify_held()
         if not outcome_fields:
             self._inspect_after[attempt] = _now() + REINSPECT_DELAY_SECONDS
             return False
@@ -146,6 +149,17 @@
         self._complete_outcomes[attempt] = outcome_fields
         await self.shard.commit(entry)
 
+    async def _verify_held(self) -> bool:
+        """Return whether a write to the journal shows that the shard is held.
+
+        A host that was replaced as the holder only notices it by a write.
+        """
+        try:
+            await self.shard.commit()
+        except errors.JujubebendError:
+            return False
+        return True
+
     def _on_entry_applied(self, entry: records.Entry) -> None:
         """Resolve the future of an outcome that is now in the journal."""
         if not isinstance(entry, records.Ended):
--- a/packages/jujubebend-entry/src/jujubebend_entry/shard.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/shard.py
@@ -116,6 +116,8 @@
     async def commit(self, *entries: records.Entry) -> None:
         """Write entries to the journal, then apply them.
 
+        A commit without entries verifies that this host still holds the shard.
+
         Raises ``errors.RefusedError`` if the entries were certainly not
         written, ``errors.UnreachableError`` if it is unknown at the time-out
         whether they were, and ``errors.FencedError`` if another host holds
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -97,6 +97,45 @@
     _run_scenario(scenario)
 
 
+@pytest.mark.parametrize('outcome_fields', [ANSWER, {}])
+def test_former_holder_confirms_no_report(outcome_fields):
+    """Else the worker forgets an end that the holder does not know yet.
+
+    A report without an outcome is of a running task, which is then stopped.
+    """
+
+    async def scenario(shard_attempts, fake_store):
+        next_shard = shard.Shard('a-0', fake_store, 'two', 0, 1e9)
+        await next_shard.open()
+        running = asyncio.create_task(next_shard.run())
+        next_attempts = attempts.Attempts(
+            next_shard, _FakeDispatcher(), _FakeLocator()
+        )
+        await next_attempts.launch('r', [_make_launch('a')], [_make_accepted()])
+        assert not await shard_attempts.settle('a', outcome_fields)
+        assert next_shard.records.by_attempt
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    _run_scenario(scenario)
+
+
+def test_report_of_closed_attempt_is_confirmed_once_the_store_answers(
+    monkeypatch,
+):
+    """Until then this host may have been replaced without noticing."""
+    monkeypatch.setattr(shard, 'COMMIT_TIMEOUT_SECONDS', 0.2)
+    monkeypatch.setattr(shard, 'RETRY_WAIT_SECONDS', 0.01)
+
+    async def scenario(shard_attempts, fake_store):
+        fake_store.down = True
+        assert not await shard_attempts.settle('a', {})
+        fake_store.down = False
+        assert await shard_attempts.settle('a', {})
+
+    _run_scenario(scenario)
+
+
 def test_ignored_intent_starts_nothing():
     async def scenario(shard_attempts, fake_store):
         await shard_attempts.launch(
