Treat an absent attempt as unknown if another owner held the lease in between

What callers would see: "not run" for an idempotent request that did run.

Cause: an owner whose start got no answer loses the lease; another owner acquires it, is told the end of the attempt and acknowledges it, because unrecorded work has no shard to report to. When the first owner acquires the lease again in the same boot, the worker no longer lists the attempt, and the owner concluded that it never ran.

Evidence, before the fix, in tests/entry/test_owner.py: test_absent_attempt_is_not_run_unless_another_owner_was_between[3-Unknown] got NotRun('the worker did not receive the start'). With the next epoch (2) the same test holds that the attempt is still not run.

Why the fix works: each acquisition raises the epoch by one. If the new lease has the same boot and the epoch after that of the attempt, nobody else held the lease in between, and an end would be listed. In any other case the outcome is unknown.

--- a/packages/jujubebend-entry/src/jujubebend_entry/owner.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/owner.py
@@ -477,11 +477,12 @@
     ) -> None:
         """Set the outcome of attempts that a worker does not list as running.
 
-        If the worker has not restarted and the start was not confirmed, the
-        attempt never ran, and the new lease epoch makes the worker reject a
-        start that arrives late. Otherwise the outcome is unknown. It is also
-        unknown if ``is_state_known`` is false, because the worker was not
-        asked.
+        If the start was not confirmed and the lease directly follows that of
+        the attempt, the attempt never ran, and the new lease epoch makes the
+        worker reject a start that arrives late. Otherwise the outcome is
+        unknown: the worker may have restarted, or another owner may have
+        acknowledged the end. It is also unknown if ``is_state_known`` is
+        false, because the worker was not asked.
         """
         held_lease = worker_lease.held_lease
         for attempt_id, attempt in list(self._attempts.items()):
@@ -493,10 +494,12 @@
             self._attempts.pop(attempt_id)
             if attempt.outcome_future.done():
                 continue
-            same_boot = (
-                held_lease is not None and held_lease.boot == attempt.boot
+            is_next_lease = held_lease is not None and (
+                (held_lease.boot, held_lease.epoch)
+                == (attempt.boot, attempt.epoch + 1)
             )
-            if is_state_known and same_boot and not attempt.is_start_confirmed:
+            is_start_lost = is_next_lease and not attempt.is_start_confirmed
+            if is_state_known and is_start_lost:
                 not_run = outcome.NotRun('the worker did not receive the start')
                 attempt.outcome_future.set_result(not_run)
             else:
--- a/tests/entry/test_owner.py
+++ b/tests/entry/test_owner.py
@@ -25,12 +25,14 @@
     """A fake worker client.
 
     ``start`` records the attempt if ``accepts_starts`` is set. It then calls
-    ``on_start`` and raises ``start_error``, each if set.
+    ``on_start`` and raises ``start_error``, each if set. ``settle`` raises
+    ``settle_error`` if set.
     """
 
     start_error: Exception | None = None
     accepts_starts: bool = True
     on_start: object = None
+    settle_error: Exception | None = None
     started: list[str] = attrs.field(factory=list)
 
     async def start(self, epoch, boot, task):
@@ -43,6 +45,8 @@
             raise self.start_error
 
     async def settle(self, epoch, boot, attempt):
+        if self.settle_error is not None:
+            raise self.settle_error
         state = intent.AttemptState.ABSENT
         if attempt in self.started:
             state = intent.AttemptState.RUNNING
@@ -194,6 +198,29 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize(
+    ('next_epoch', 'expected'), [(2, outcome.NotRun), (3, outcome.Unknown)]
+)
+def test_absent_attempt_is_not_run_unless_another_owner_was_between(
+    next_epoch, expected
+):
+    """An owner in between may have acknowledged the end of the attempt."""
+
+    async def scenario(host_owner, worker_lease, client):
+        client.start_error = errors.UnreachableError('lost')
+        client.settle_error = worker.StaleLeaseError('old')
+        await _reserve(host_owner)
+        running = asyncio.create_task(host_owner.run(_task()))
+        while 'a' not in client.started:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.01)
+        worker_lease.held_lease.epoch = next_epoch
+        host_owner.on_acquired(worker_lease, _lease_reply(epoch=next_epoch))
+        assert isinstance(await running, expected)
+
+    _run(scenario)
+
+
 def test_cancelled_caller_does_not_leak_capacity():
     async def scenario(host_owner, worker_lease, client):
         await _reserve(host_owner)
