Keep the outcome that arrives while a start is being settled

What callers would see: "not run" for an idempotent request that ran and whose end the worker had reported.

Cause: the answer to a start is lost, and the owner asks the worker about the attempt. While that call is delayed, a renewal brings the end, and the next one acknowledges it. The worker has then forgotten the attempt when the call arrives and reports it as absent, and the owner concluded that it never ran.

Evidence, before the fix: test_end_reported_before_a_delayed_settle_is_kept in tests/entry/test_owner.py got NotRun('the worker did not receive the start') in place of the answer.

Why the fix works: the owner acknowledges an end only after it has set the outcome, so an attempt without an outcome has not been forgotten under this lease. The outcome is checked again once the report has arrived.

--- a/packages/jujubebend-entry/src/jujubebend_entry/owner.py
+++ b/packages/jujubebend-entry/src/jujubebend_entry/owner.py
@@ -593,6 +593,9 @@
             except errors.UnreachableError:
                 await asyncio.sleep(SETTLE_RETRY_SECONDS)
                 continue
+            if attempt.outcome_future.done():
+                # The worker may have forgotten the end that it reported.
+                return None
             if report.state is intent.AttemptState.ABSENT:
                 return self._conclude_not_started(
                     attempt, 'the worker did not receive the start'
--- a/tests/entry/test_owner.py
+++ b/tests/entry/test_owner.py
@@ -25,14 +25,15 @@
     """A fake worker client.
 
     ``start`` records the attempt if ``accepts_starts`` is set. It then calls
-    ``on_start`` and raises ``start_error``, each if set. ``settle`` raises
-    ``settle_error`` if set.
+    ``on_start`` and raises ``start_error``, each if set. ``settle`` likewise
+    calls ``on_settle`` and raises ``settle_error``.
     """
 
     start_error: Exception | None = None
     accepts_starts: bool = True
     on_start: object = None
     settle_error: Exception | None = None
+    on_settle: object = None
     started: list[str] = attrs.field(factory=list)
 
     async def start(self, epoch, boot, task):
@@ -45,6 +46,8 @@
             raise self.start_error
 
     async def settle(self, epoch, boot, attempt):
+        if self.on_settle is not None:
+            self.on_settle(attempt)
         if self.settle_error is not None:
             raise self.settle_error
         state = intent.AttemptState.ABSENT
@@ -221,6 +224,21 @@
     _run(scenario)
 
 
+def test_end_reported_before_a_delayed_settle_is_kept():
+    """By the time the settle arrives, the worker may have forgotten the end."""
+
+    async def scenario(host_owner, worker_lease, client):
+        client.start_error = errors.UnreachableError('lost')
+        client.accepts_starts = False
+        client.on_settle = lambda attempt: host_owner.on_ended(
+            worker_lease, worker.EndedTask(attempt, ANSWER)
+        )
+        await _reserve(host_owner)
+        assert isinstance(await host_owner.run(_task()), outcome.Answered)
+
+    _run(scenario)
+
+
 def test_cancelled_caller_does_not_leak_capacity():
     async def scenario(host_owner, worker_lease, client):
         await _reserve(host_owner)
