Emulator: connections that open late; leases as the platform grants them

Connections that are still to be opened aren't silenced by a crash of the worker.

Three differences from the platform came up with it. A start took its lease without the maximum of 6 s, so that a start meant for an incarnation with a higher clock held a lease of up to that clock; a start refused as old, or of a run that is there already, extended none. An extension by a start didn't note that the lease had expired before. A worker that is cut off was not asked again before the invariants were checked, so its runs counted as running after their leases had expired: a trial of a restart with a change of leader was reported as an overlap of runs, and with the ends recorded it held.

--- a/packages/jujubebend-standin/src/jujubebend_standin/emulator/checks.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/emulator/checks.py
@@ -22,6 +22,8 @@
     """
     runs_by_task: dict[str, list[worker.Run]] = collections.defaultdict(list)
     for emulated_worker in cluster.workers:
+        # A worker ends runs when it is called; one that is cut off is not.
+        emulated_worker.end_due_runs()
         for run in emulated_worker.runs:
             runs_by_task[run.task].append(run)
     violations = [
--- a/packages/jujubebend-standin/src/jujubebend_standin/emulator/localcluster.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/emulator/localcluster.py
@@ -214,13 +214,20 @@
         }
         self.store.put(f'servers/{emulated_worker.name}', entry)
 
+    def get_worker_relay(
+        self, emulated_worker: worker.EmulatedWorker
+    ) -> relay.Relay:
+        """Return the relay between all hosts and a worker."""
+        return self._worker_relays[emulated_worker.name]
+
     async def crash_worker(
         self, emulated_worker: worker.EmulatedWorker
     ) -> None:
         """Crash a worker, which starts again under its ID at once.
 
         Its connections go silent for good, and what was sent on them is lost.
-        New ones reach the new incarnation, whose entry is not written yet.
+        New ones, and those that its relay has yet to open, reach the new
+        incarnation, whose entry is not written yet.
         """
         name = emulated_worker.name
         self._worker_relays[name].blackhole_connections()
--- a/packages/jujubebend-standin/src/jujubebend_standin/emulator/worker.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/emulator/worker.py
@@ -98,7 +98,7 @@
         if token < self.fencing_token:
             return self._build_reply(http.HTTPStatus.CONFLICT, reason='fence')
         self.fencing_token = token
-        self._end_due_runs()
+        self.end_due_runs()
         match req.path.rpartition('/')[2]:
             case 'run-start':
                 return await self._start_run(document)
@@ -130,9 +130,21 @@
         """Return the worker's own clock: seconds since this incarnation."""
         return time.monotonic() - self.booted_at
 
+    def end_due_runs(self) -> None:
+        """End the runs that are due, and all of them if the leases expired."""
+        now = time.monotonic()
+        expiry = self.booted_at + self.lease_until
+        for run in list(self.running.values()):
+            if run.due_at <= min(now, expiry):
+                run_outcome = 'failed' if self.faults.fail_runs else 'done'
+                self._end_run(run, run_outcome, run.due_at)
+            elif expiry < now:
+                self._end_run(run, 'lapsed', expiry)
+
     async def _start_run(self, document: dict) -> httpmessage.Reply:
         task, number = document['task'], document['run']
         lease_until = document['until_ms'] / MS_PER_SECOND
+        self._extend_lease(lease_until)
         current = self.running.get(task)
         if current is not None and current.number == number:
             return self._build_reply(http.HTTPStatus.OK)
@@ -143,7 +155,6 @@
             or current is not None
         ):
             return self._build_reply(http.HTTPStatus.CONFLICT, reason='old')
-        self.lease_until = max(self.lease_until, lease_until)
         cpu, seconds = document['spec'].split()
         now = time.monotonic()
         run = Run(task, number, int(cpu), now, now + float(seconds))
@@ -174,15 +185,7 @@
         return self._build_reply(http.HTTPStatus.OK)
 
     async def _renew_leases(self, document: dict) -> httpmessage.Reply:
-        if self.read_clock() > self.lease_until:
-            # Ends from before the leases expired are no longer valid: their
-            # tasks may have been started elsewhere.
-            self.expired_ends.update(
-                end_number for end_number, _ in self.unacknowledged_ends
-            )
-        lease_until = document.get('until_ms', 0) / MS_PER_SECOND
-        latest = self.read_clock() + MAX_LEASE_SECONDS
-        self.lease_until = max(self.lease_until, min(lease_until, latest))
+        self._extend_lease(document.get('until_ms', 0) / MS_PER_SECOND)
         self.acknowledged_end_number = max(
             self.acknowledged_end_number, document['last_seen']
         )
@@ -194,7 +197,7 @@
             run.is_acknowledged = run.is_acknowledged or is_acknowledged
         deadline = time.monotonic() + document.get('wait_ms', 0) / MS_PER_SECOND
         while True:
-            self._end_due_runs()
+            self.end_due_runs()
             self.unacknowledged_ends = [
                 end
                 for end in self.unacknowledged_ends
@@ -218,23 +221,23 @@
             ],
         )
 
+    def _extend_lease(self, lease_until: float) -> None:
+        """Extend the lease of everything that runs here, up to the maximum."""
+        if self.read_clock() > self.lease_until:
+            # Ends from before the leases expired are no longer valid: their
+            # tasks may have been started elsewhere.
+            self.expired_ends.update(
+                end_number for end_number, _ in self.unacknowledged_ends
+            )
+        latest = self.read_clock() + MAX_LEASE_SECONDS
+        self.lease_until = max(self.lease_until, min(lease_until, latest))
+
     def _compute_percent(self, run: Run) -> int:
         elapsed_share = (time.monotonic() - run.started_at) / (
             run.due_at - run.started_at
         )
         return min(100, int(100 * elapsed_share))
 
-    def _end_due_runs(self) -> None:
-        """End the runs that are due, and all of them if the leases expired."""
-        now = time.monotonic()
-        expiry = self.booted_at + self.lease_until
-        for run in list(self.running.values()):
-            if run.due_at <= min(now, expiry):
-                run_outcome = 'failed' if self.faults.fail_runs else 'done'
-                self._end_run(run, run_outcome, run.due_at)
-            elif expiry < now:
-                self._end_run(run, 'lapsed', expiry)
-
     def _end_run(self, run: Run, run_outcome: str, ended_at: float) -> None:
         run.record_end(ended_at, run_outcome)
         self.running.pop(run.task)
--- a/packages/jujubebend-standin/src/jujubebend_standin/relay.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/relay.py
@@ -4,7 +4,9 @@
 their own. A cut relay aborts its connections and every new one. A stalled
 relay keeps connections open and forwards nothing. A relay can also delay
 bytes, pause one direction, reset open connections, or stop forwarding on
-open connections for good while new ones work.
+open connections for good while new ones work. It can also open new connections
+late: what the client sent meanwhile reaches the process that serves the target
+by then.
 """
 
 from __future__ import annotations
@@ -37,20 +39,28 @@
 class Relay:
     """Forwards connections to ``target``, an address of host and port.
 
-    ``delay`` is added to each chunk of bytes, in seconds.
+    ``delay`` is added to each chunk of bytes, in seconds. A connection that is
+    accepted is opened to the target after ``open_delay`` seconds.
     """
 
     target: str
     port: int = 0
     state: State = State.PASS
     delay: float = 0
+    open_delay: float = 0
     _listener: asyncio.Server | None = None
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
+    _opening: set[asyncio.Task] = attrs.field(factory=set)
     _blackholed: weakref.WeakSet = attrs.field(factory=weakref.WeakSet)
     _is_forwarding: dict[Direction, asyncio.Event] = attrs.field(
         factory=lambda: {direction: asyncio.Event() for direction in Direction}
     )
 
+    @property
+    def opening_connections(self) -> int:
+        """Number of accepted connections that wait for ``open_delay``."""
+        return len(self._opening)
+
     async def start(self, port: int = 0) -> None:
         """Listen on a port; port zero takes a free port."""
         self.resume(*Direction)
@@ -86,7 +96,7 @@
 
     def blackhole_connections(self) -> None:
         """Stop forwarding on open connections for good; new ones work."""
-        self._blackholed.update(self._tasks)
+        self._blackholed.update(self._tasks - self._opening)
 
     async def stop(self) -> None:
         """Stop listening and abort every connection."""
@@ -120,10 +130,7 @@
         if self.state is State.CUT:
             writer.transport.abort()
             return
-        host, _, port = self.target.rpartition(':')
-        target_reader, target_writer = await asyncio.open_connection(
-            host, int(port)
-        )
+        target_reader, target_writer = await self._open_target(task)
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(
@@ -141,6 +148,18 @@
         finally:
             target_writer.close()
 
+    async def _open_target(
+        self, task: asyncio.Task
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if self.open_delay:
+            self._opening.add(task)
+            try:
+                await asyncio.sleep(self.open_delay)
+            finally:
+                self._opening.discard(task)
+        host, _, port = self.target.rpartition(':')
+        return await asyncio.open_connection(host, int(port))
+
     async def _read_bytes(
         self, task: asyncio.Task, reader: asyncio.StreamReader
     ) -> bytes:
--- a/tests/emulator/test_soak.py
+++ b/tests/emulator/test_soak.py
@@ -101,7 +101,7 @@
         emulated_worker.booted_at -= 3
         done.due_at -= 3
         expired.due_at -= 3
-        emulated_worker._end_due_runs()
+        emulated_worker.end_due_runs()
         assert (done.outcome, expired.outcome) == ('done', 'lapsed')
         assert done.ended_at == done.due_at
         await emulated_worker._renew_leases({
@@ -111,3 +111,42 @@
         assert not done.is_acknowledged
 
     asyncio.run(main())
+
+
+def _order_start(emulated_worker, task, run, until, spec='1 9'):
+    document = {
+        'task': task,
+        'run': run,
+        'spec': spec,
+        'until_ms': until * worker.MS_PER_SECOND,
+    }
+    return emulated_worker._start_run(document)
+
+
+def test_a_start_extends_the_lease_up_to_the_maximum():
+    """A start that is refused as old extends the lease as well."""
+
+    async def main():
+        emulated_worker = worker.EmulatedWorker('w', 4)
+        await _order_start(emulated_worker, 'j', 2, 2)
+        assert emulated_worker.lease_until == 2
+        reply = await _order_start(emulated_worker, 'j', 1, 100)
+        assert reply.json()['reason'] == 'old'
+        latest = emulated_worker.read_clock() + worker.MAX_LEASE_SECONDS
+        assert latest - 1 < emulated_worker.lease_until <= latest
+
+    asyncio.run(main())
+
+
+def test_checks_end_the_runs_of_a_worker_that_is_cut_off(tmp_path):
+    async def main():
+        cluster = localcluster.LocalCluster(tmp_path)
+        silent, successor = (worker.EmulatedWorker(name, 4) for name in 'ab')
+        cluster.workers.extend((silent, successor))
+        await _order_start(silent, 'j', 1, 0.1)
+        await asyncio.sleep(0.2)
+        await _order_start(successor, 'j', 2, 5)
+        load = loadgenerator.LoadGenerator(cluster, cluster.store.rng)
+        assert not checks.find_violations(cluster, load)
+
+    asyncio.run(main())
