--- a/packages/jujubebend-standin/src/jujubebend_standin/emulator/soak.py
+++ b/packages/jujubebend-standin/src/jujubebend_standin/emulator/soak.py
@@ -34,6 +34,8 @@
 # Shorter than many faults last, so that some faults overlap.
 FAULT_INTERVAL_SECONDS = (0.2, 2.5)
 RELAY_DELAY_SECONDS = (0.02, 0.3)
+OPEN_DELAY_SECONDS = (0.8, 2.5)
+CUT_AFTER_RESTART_SECONDS = (0.1, 0.6)
 HOST_POLL_SECONDS = 0.1  # between checks for a host without a fault
 END_LIMIT_SECONDS = 60.0  # for every accepted job to end after the faults
 
@@ -127,11 +129,13 @@
             self._history_dropped,
             self._worker_silent,
             self._worker_reborn,
+            self._worker_reborn_and_cut,
             self._starts_lost,
             self._path_slow,
             self._path_cut,
             self._path_reset,
             self._path_silent,
+            self._connections_late,
         ))
         self.injected.append(fault.__name__.strip('_'))
         await fault()
@@ -225,8 +229,27 @@
     async def _path_silent(self) -> None:
         self._choose_relay().blackhole_connections()
 
+    async def _connections_late(self) -> None:
+        tcp_relay = self.cluster.get_worker_relay(self._choose_worker())
+        tcp_relay.open_delay = self.rng.uniform(*OPEN_DELAY_SECONDS)
+        await asyncio.sleep(self.rng.uniform(1, 4))
+        tcp_relay.open_delay = 0
+
     async def _worker_reborn(self) -> None:
+        await self._restart_worker(self._choose_worker())
+
+    async def _worker_reborn_and_cut(self) -> None:
         emulated_worker = self._choose_worker()
+        await self._restart_worker(emulated_worker)
+        await asyncio.sleep(self.rng.uniform(*CUT_AFTER_RESTART_SECONDS))
+        tcp_relay = self.cluster.get_worker_relay(emulated_worker)
+        tcp_relay.pause(*relay.Direction)
+        await asyncio.sleep(self.rng.uniform(2, 9))
+        tcp_relay.resume(*relay.Direction)
+
+    async def _restart_worker(
+        self, emulated_worker: worker.EmulatedWorker
+    ) -> None:
         await self.cluster.crash_worker(emulated_worker)
         self.cluster.write_worker_entry(emulated_worker)
 
