--- a/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
@@ -28,6 +28,11 @@
 # Distance of the fencing tokens of two epochs. Leaders of earlier builds count the
 # restarts of a worker between them.
 TOKENS_PER_EPOCH = 64
+# Answers to a stop that leave open whether the worker may still start the run.
+_INCONCLUSIVE_STOP_RESULTS = frozenset((
+    interfaces.OrderResult.UNHEALTHY,
+    interfaces.OrderResult.OTHER_INCARNATION,
+))
 
 
 class StatusListener(Protocol):
@@ -66,6 +71,7 @@
     """Communicates with one worker until cancelled or ``is_stopped``.
 
     The ends of the worker's incarnation up to ``acknowledged`` are stored.
+    ``_answered_address`` is where the worker has answered this leader last.
     ``lease`` is in seconds. Leases that former leaders granted have expired
     after ``former_leases_expire_at``.
     """
@@ -82,6 +88,7 @@
     _replaced_calls: list[interfaces.WorkerCalls] = attrs.field(factory=list)
     _is_status_stored: bool = False
     _runs_listed_at: float = 0
+    _answered_address: str = ''
 
     def __attrs_post_init__(self) -> None:
         """Create the connection; it is opened on demand."""
@@ -180,7 +187,7 @@
             except errors.UnreachableError:
                 await asyncio.sleep(STOP_RETRY_DELAY_S)
                 continue
-            if order_result is interfaces.OrderResult.UNHEALTHY:
+            if order_result in _INCONCLUSIVE_STOP_RESULTS:
                 await asyncio.sleep(STOP_RETRY_DELAY_S)
                 continue
             if task.run == run:
@@ -259,6 +266,7 @@
             wait_s,
             should_list_runs,
         )
+        address = worker.entry.address
         try:
             with _unanswered_on_error():
                 answer = await self.calls.renew_leases(renewal)
@@ -268,8 +276,9 @@
             await self._handle_no_answer(str(exc))
             return
         if isinstance(answer, interfaces.OrderResult):
-            await self._handle_refusal(answer)
+            await self._handle_refusal(answer, address)
             return
+        self._answered_address = address
         await self._handle_status(answer, sent_at)
 
     def _extend_lease(self, seconds: float) -> float | None:
@@ -324,17 +333,23 @@
         await asyncio.sleep(RETRY_DELAY_S * random.uniform(0.5, 1))
 
     async def _handle_refusal(
-        self, order_result: interfaces.OrderResult
+        self, order_result: interfaces.OrderResult, address: str
     ) -> None:
-        if order_result is interfaces.OrderResult.FENCED:
-            self.listener.handle_fencing(self.worker)
-        if order_result is interfaces.OrderResult.OTHER_INCARNATION:
+        is_other = order_result is interfaces.OrderResult.OTHER_INCARNATION
+        if is_other and address == self._answered_address:
+            # Where the worker has answered, another one shows that it is gone.
+            # Elsewhere it shows that the entry is wrong.
             self.worker.is_reachable = False
             self.listener.release_runs(
                 self.worker,
                 list(self.worker.tasks.values()),
                 'another worker answers at its address',
             )
+        if is_other:
+            await self._handle_no_answer(order_result.value)
+            return
+        if order_result is interfaces.OrderResult.FENCED:
+            self.listener.handle_fencing(self.worker)
         self._mark_unreached(order_result.value)
         await asyncio.sleep(RETRY_DELAY_S)
 
--- a/tests/cluster/harness.py
+++ b/tests/cluster/harness.py
@@ -38,12 +38,16 @@
         self.machines = None
         self.tasks = []
 
-    def list_worker(self, worker, state=interfaces.WorkerState.READY):
-        """Write the entry of a worker in its present incarnation."""
+    def list_worker(
+        self, worker, state=interfaces.WorkerState.READY, address=''
+    ):
+        """Write the entry of a worker in its present incarnation.
+
+        At any other ``address`` than its own another worker answers.
+        """
         self.workers[worker.name] = worker
-        self.store.put(
-            f'servers/{worker.name}', f'{state.value} {worker.born}'.encode()
-        )
+        body = f'{state.value} {worker.born} {address or worker.name}'
+        self.store.put(f'servers/{worker.name}', body.encode())
 
     def unlist_worker(self, worker):
         deletes = (f'servers/{worker.name}',)
@@ -58,7 +62,7 @@
     def context(self):
         return context.Context(
             store=self.store,
-            connect_worker=lambda name, address: self.workers[name],
+            connect_worker=self._connect_worker,
             parse_worker=self._parse_worker,
             workers_prefix='servers/',
             current_config=lambda: self.config,
@@ -71,9 +75,16 @@
     def _parse_worker(self, name, body):
         if name not in self.workers:
             return None
-        state, born = body.decode().split()
+        state, born, address = body.decode().split()
         entry = self.workers[name].entry(interfaces.WorkerState(state))
-        return attrs.evolve(entry, born=int(born))
+        return attrs.evolve(entry, born=int(born), address=address)
+
+    def _connect_worker(self, name, address):
+        if address == name:
+            return self.workers[name]
+        return fakecluster.Worker(
+            address, refusal=interfaces.OrderResult.OTHER_INCARNATION
+        )
 
     async def start_term(self, epoch=1):
         """Claim the leader record as an elector does and start a term."""
--- a/tests/cluster/test_incarnations.py
+++ b/tests/cluster/test_incarnations.py
@@ -246,3 +246,73 @@
         await _assert_completed_by(cluster, term, [('w1', 1)])
 
     _run(scenario, _WorkerOfFormerBuilds)
+
+
+@pytest.mark.parametrize('seconds', [0.1, 1.5, 20])
+def test_another_worker_at_the_address_of_a_wrong_entry_ends_no_run(seconds):
+    """Guards against an answer at an address where the worker has never been.
+
+    An entry of another writer names the address of another worker. The runs end
+    with their leases, if the worker's own entry does not come back before.
+    """
+
+    async def scenario(cluster):
+        term, first, second = await _lead_with_one_usable_worker(cluster)
+        first.seconds = 5
+        cluster.submit_job(fakecluster.job('j'))
+        await harness.wait_until(lambda: harness.find_starts(cluster, 'j'))
+        cluster.list_worker(second)
+        cluster.list_worker(first, address='w2')
+        await asyncio.sleep(seconds)
+        cluster.list_worker(first)
+        await harness.wait_until(
+            lambda: harness.find_job_state(term, 'j') == 'completed'
+        )
+        first._end_due_runs()
+        for _, _, started_at in second.start_times:
+            assert first.ended_at[first.started[0]] <= started_at
+        assert len(harness.find_starts(cluster, 'j')) == 1 + (seconds > 6)
+
+    _run(scenario)
+
+
+def test_another_worker_at_the_address_of_a_worker_ends_its_runs_at_once():
+    async def scenario(cluster):
+        _, first, second = await _lead_with_one_usable_worker(cluster)
+        cluster.submit_job(fakecluster.job('j'))
+        await harness.wait_until(lambda: harness.find_starts(cluster, 'j'))
+        cluster.list_worker(second)
+        first.crash(restart=True)
+        first.refusal = interfaces.OrderResult.OTHER_INCARNATION
+        await harness.wait_until(lambda: second.started, seconds=1.5)
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize(
+    'refusal',
+    [
+        interfaces.OrderResult.OTHER_INCARNATION,
+        interfaces.OrderResult.UNHEALTHY,
+    ],
+)
+def test_a_stop_is_repeated_until_the_worker_itself_answers(refusal):
+    """Guards against a start that arrives after another worker's answer."""
+
+    async def main():
+        fake_worker = fakecluster.Worker('w1', refusal=refusal)
+        worker = fleet.Worker(fake_worker.entry())
+        controller = workercontroller.WorkerController(
+            worker, lambda name, address: fake_worker, mock.Mock(), 1, 6.0, 0
+        )
+        job_table = jobtable.JobTable()
+        task = job_table.add(fakecluster.job('j')).groups[0, 0].tasks[0]
+        job_table.assign_run(task, 'w1', worker.incarnation, 1)
+        stopping = asyncio.create_task(controller.stop_run(task))
+        await asyncio.sleep(1)
+        assert task.answered_at is None
+        fake_worker.refusal = None
+        await stopping
+        assert task.answered_at == clock.now()
+
+    virtualtime.run(main)
--- a/tests/fakecluster.py
+++ b/tests/fakecluster.py
@@ -148,7 +148,7 @@
     """A worker whose tasks take ``seconds`` each.
 
     ``mute`` leaves calls without an answer, ``refuse`` refuses connections,
-    and calls raise ``call_error`` if it is set. ``lose_starts`` is the number of starts that go to
+    calls raise ``call_error`` if it is set, and return ``refusal``. ``lose_starts`` is the number of starts that go to
     ``late_starts`` without an answer, ``lose_paces`` the number of pace
     orders to lose. ``restarts_before_start`` makes the worker restart while the
     next start is under way, which is lost with its connection. ``no_ticket``
@@ -169,6 +169,7 @@
     mute: bool = False
     refuse: bool = False
     call_error: Exception | None = None
+    refusal: interfaces.OrderResult | None = None
     is_stalled: bool = False
     reports_full_progress: bool = False
     fails: bool = False
@@ -222,6 +223,8 @@
 
     async def start(self, order):
         await self._simulate_call()
+        if self.refusal is not None:
+            return self.refusal
         if order.incarnation != self.born:
             return interfaces.OrderResult.RESTARTED
         if self.restarts_before_start:
@@ -267,6 +270,8 @@
 
     async def stop(self, task, run, token, incarnation):
         await self._simulate_call()
+        if self.refusal is not None:
+            return self.refusal
         if incarnation != self.born:
             return interfaces.OrderResult.RESTARTED
         self._end_due_runs()
@@ -280,6 +285,8 @@
 
     async def pace(self, task, run, percent, token, incarnation):
         await self._simulate_call()
+        if self.refusal is not None:
+            return self.refusal
         if incarnation != self.born:
             return interfaces.OrderResult.RESTARTED
         if self.lose_paces:
@@ -293,6 +300,8 @@
 
     async def renew_leases(self, renewal):
         await self._simulate_call()
+        if self.refusal is not None:
+            return self.refusal
         if renewal.token < self.token:
             return interfaces.OrderResult.FENCED
         self.token = renewal.token
