Release the runs of a worker that refuses renewals once its leases have expired (LOST)

What callers would see: tasks that stay placed on a worker that answers each renewal with 503 or 429, and that never run again, though they ended there with their leases.

Cause: only a renewal without an answer looked whether the leases have expired. A refusal extends no lease either.

Why this works: a refused renewal is handled as one without an answer; the leases are counted from what was sent, so they end no later on the worker than here.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
@@ -345,13 +345,9 @@
                 list(self.worker.tasks.values()),
                 'another worker answers at its address',
             )
-        if is_other:
-            await self._handle_no_answer(order_result.value)
-            return
         if order_result is interfaces.OrderResult.FENCED:
             self.listener.handle_fencing(self.worker)
-        self._mark_unreached(order_result.value)
-        await asyncio.sleep(RETRY_DELAY_S)
+        await self._handle_no_answer(order_result.value)
 
     def _mark_unreached(self, why: str) -> None:
         worker = self.worker
--- a/tests/cluster/test_incarnations.py
+++ b/tests/cluster/test_incarnations.py
@@ -289,6 +289,24 @@
     _run(scenario)
 
 
+def test_runs_on_a_worker_that_refuses_renewals_end_with_their_leases():
+    """Guards against a run that is never released, as each call is answered."""
+
+    async def scenario(cluster):
+        _, first, second = await _lead_with_one_usable_worker(cluster)
+        first.seconds = 1_000
+        cluster.submit_job(fakecluster.job('j'))
+        await harness.wait_until(lambda: harness.find_starts(cluster, 'j'))
+        cluster.list_worker(second)
+        first.refusal = interfaces.OrderResult.UNHEALTHY
+        await harness.wait_until(lambda: second.started)
+        first._end_due_runs()
+        _, _, restarted_at = second.start_times[0]
+        assert first.ended_at[first.started[0]] <= restarted_at
+
+    _run(scenario)
+
+
 @pytest.mark.parametrize(
     'refusal',
     [
