Refuse exchanges with relays of another build as a whole (LOST)

What callers would see: while a cluster is upgraded, a leader that uses relays reaches no worker, leases expire and nothing runs, for as long as one relay is of the other build.

A relay of the other build cannot decode them and answers each call as lost, while the exchange succeeds. So the route never fails, and the workers whose calls it loses go on choosing it, as it has the fewest.

Why this works: the peer call has a name of its own now. A host of another build does not know it and refuses the exchange, in both directions; two refusals drop the route, and other relays or direct calls take its place.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/peerhandlers.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/peerhandlers.py
@@ -47,7 +47,7 @@
             'count': self._report_count,
             'store': self._store_job,
             'advise': self._ask_advice,
-            'relay': self.relay_server.exchange,
+            peers.RELAY_CALL: self.relay_server.exchange,
         }
 
     async def _handle_heartbeat(self, document: dict) -> dict:
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/peers.py
@@ -24,6 +24,9 @@
 HEARTBEAT_INTERVAL_S = 0.5
 HEARTBEAT_TIMEOUT_S = 0.3  # a leader that answers later is suspect
 CONNECTIONS_PER_PEER = 8
+# Renamed when the rows of relayed calls change, so that a relay of another build
+# refuses the exchange as a whole and another route is chosen.
+RELAY_CALL = 'relay-bound'
 # Status codes of replies: REFUSED if the call had no effect, UNKNOWN if it may
 # have had one.
 OK = http.HTTPStatus.OK
@@ -131,7 +134,7 @@
         """
         body = _encode(document)
         started_at = clock.now()
-        reply = await self._send(address, 'relay', body, timeout)
+        reply = await self._send(address, RELAY_CALL, body, timeout)
         self.metrics.observe('exchange', clock.now() - started_at)
         size = len(body) + len(reply.body)
         self.metrics.count_bytes('exchange_bytes', size)
--- a/properties/test_messages.py
+++ b/properties/test_messages.py
@@ -320,13 +320,13 @@
         worker = fakecluster.Worker('w')
         worker.lose_starts = 0
         server = relayserver.RelayServer(lambda name, address: worker)
-        handler = peers.PeerServer({'relay': server.exchange})
-        req = httpmessage.Request('POST', '/peer/relay', {}, body)
+        handler = peers.PeerServer({peers.RELAY_CALL: server.exchange})
+        req = httpmessage.Request('POST', f'/peer/{peers.RELAY_CALL}', {}, body)
         reply = await handler.handle(req)
         assert reply.status in {200, 400}
         document = {'session': 'own', 'taken': 0, 'calls': []}
         req = httpmessage.Request(
-            'POST', '/peer/relay', {}, orjson.dumps(document)
+            'POST', f'/peer/{peers.RELAY_CALL}', {}, orjson.dumps(document)
         )
         assert (await handler.handle(req)).status == 200
         for session in server._sessions.values():
--- a/tests/cluster/test_compression.py
+++ b/tests/cluster/test_compression.py
@@ -77,9 +77,9 @@
 
 
 def test_a_damaged_call_from_a_peer_is_answered_as_invalid():
-    server = peers.PeerServer({'relay': _fail_test})
+    server = peers.PeerServer({peers.RELAY_CALL: _fail_test})
     body = compression.compress(DOCUMENT)[:-5]
-    req = httpmessage.Request('POST', '/peer/relay', {}, body)
+    req = httpmessage.Request('POST', f'/peer/{peers.RELAY_CALL}', {}, body)
     reply = asyncio.run(server.handle(req))
     assert reply.status == peers.INVALID
 
@@ -136,7 +136,7 @@
     clients = {}
     for address in RELAYS:
         relay_server = relayserver.RelayServer(connect_worker)
-        handlers = {'relay': relay_server.exchange}
+        handlers = {peers.RELAY_CALL: relay_server.exchange}
         clients[address] = _LinkedPeer(link, peers.PeerServer(handlers))
     return peers.PeerClient('h1', 'h1:1', clients=clients)
 
--- a/tests/cluster/test_relay.py
+++ b/tests/cluster/test_relay.py
@@ -12,7 +12,14 @@
 import pytest
 
 from jujubebend import errors
-from jujubebend_cluster import jobspec, keys, relay, relaycodec, relayserver
+from jujubebend_cluster import (
+    jobspec,
+    keys,
+    peers,
+    relay,
+    relaycodec,
+    relayserver,
+)
 from tests import fakecluster, virtualtime
 from tests.cluster import harness
 
@@ -25,6 +32,8 @@
 class InMemoryRelays:
     """Relays in memory; those in ``unresponsive`` do not answer.
 
+    Those in ``former`` are of a former build, which cannot decode the calls.
+
     ``lose_answers`` is the number of answers to lose, and ``delay`` the time
     in seconds by which an exchange and its answer are late.
     """
@@ -32,6 +41,7 @@
     cluster: harness.Cluster
     relays: dict = attrs.field(factory=dict)
     unresponsive: set = attrs.field(factory=set)
+    former: set = attrs.field(factory=set)
     exchanges: int = 0
     lose_answers: int = 0
     delay: float = 0
@@ -56,6 +66,8 @@
             raise errors.UnreachableError(f'{address} is silent')
         # Hosts exchange documents as JSON, which must lose nothing.
         received_document = orjson.loads(orjson.dumps(document))
+        if address in self.former:
+            return _exchange_with_former_build(received_document)
         reply = await self.relays[address].exchange(received_document)
         if self.lose_answers:
             self.lose_answers -= 1
@@ -63,6 +75,13 @@
         return orjson.loads(orjson.dumps(reply))
 
 
+def _exchange_with_former_build(document):
+    if peers.RELAY_CALL != 'relay':
+        raise errors.UnreachableError('unknown peer call')
+    answers = [[row[0], ['lost', 'malformed']] for row in document['calls']]
+    return {'fresh': False, 'answers': answers}
+
+
 async def _wait_at_most(seconds, timeout, address):
     await asyncio.sleep(min(seconds, timeout))
     if seconds > timeout:
@@ -178,6 +197,18 @@
     _run_scenario(scenario)
 
 
+@pytest.mark.parametrize('former', [('d1',), ('d1', 'd2', 'd3')])
+def test_relays_of_a_former_build_do_not_keep_workers_from_the_leader(former):
+    """Guards against relays that lose each call, but no exchange."""
+
+    async def scenario(cluster):
+        leader_term, relay_network, _ = await _start_term_with_relays(cluster)
+        relay_network.former.update(former)
+        await _wait_completed(leader_term, _submit_jobs(cluster, 2))
+
+    _run_scenario(scenario)
+
+
 def test_no_task_runs_twice_when_a_relay_restarts():
     async def scenario(cluster):
         leader_term, relay_network, router = await _start_term_with_relays(
