HTTP client: a request that cannot follow its question was not sent

A server that closes the connection with its answer to the question got no request, but the call raised UnreachableError, as if it might have been.

--- a/packages/jujubebend-http/src/jujubebend_http/httpclient.py
+++ b/packages/jujubebend-http/src/jujubebend_http/httpclient.py
@@ -191,6 +191,10 @@
                 f'not {recipient.identity}',
                 reply,
             )
+        if not conn.is_reusable:
+            raise errors.NotSentError(
+                f'{self.address} closes the connection after one request'
+            )
 
     def _release_connection(self, conn: _Connection) -> None:
         """Keep a connection for further calls, or close it."""
