Place nothing on a worker whose restart a start has shown, until it answers a renewal

What callers would see: a task that is refused again and again, each 0.4 s, by a worker that restarted while its renewal waits for an answer (up to 1.7 s); a gang is stopped each time.

Cause: a start that another incarnation refused paused placements for the time in which a busy worker is spared, though the incarnation that the leader knows is gone for good.

--- a/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/dispatcher.py
@@ -146,7 +146,11 @@
             task.group.job.has_started = True
             return
         if order_result is interfaces.OrderResult.RESTARTED:
-            worker.no_placements_until = now + workercontroller.RENEWAL_PAUSE_S
+            # The incarnation that the run was placed on had answered before, so
+            # the one that answers now is a later one. It gets work once it has
+            # answered a renewal.
+            if task.incarnation == worker.incarnation:
+                worker.is_reachable = False
             self.release_run(worker, task, 'its worker has restarted')
             return
         if order_result is None:
--- a/tests/cluster/test_incarnations.py
+++ b/tests/cluster/test_incarnations.py
@@ -15,6 +15,7 @@
     fleet,
     interfaces,
     jobtable,
+    progress,
     workercontroller,
 )
 from tests import fakecluster, virtualtime
@@ -334,3 +335,22 @@
         assert task.answered_at == clock.now()
 
     virtualtime.run(main)
+
+
+def test_a_restarted_worker_gets_no_work_before_it_has_answered_a_renewal():
+    """Guards against starts that the next incarnation refuses again and again.
+
+    The renewal that was under way at the restart waits for its time-out.
+    """
+
+    async def scenario(cluster):
+        term, first, _ = await _lead_with_one_usable_worker(cluster)
+        first.silent_renewals = math.inf
+        first.crash(restart=True)
+        cluster.submit_job(fakecluster.job('j'))
+        await asyncio.sleep(0.95 * fakecluster.CALL_TIMEOUT_S)
+        task = term.leader.job_table.jobs['j'].groups[0, 0].tasks[0]
+        assert task.run == 1
+        assert task.state is progress.TaskState.WAITING
+
+    _run(scenario)
--- a/tests/fakecluster.py
+++ b/tests/fakecluster.py
@@ -148,7 +148,9 @@
     """A worker whose tasks take ``seconds`` each.
 
     ``mute`` leaves calls without an answer, ``refuse`` refuses connections,
-    calls raise ``call_error`` if it is set, and return ``refusal``. ``lose_starts`` is the number of starts that go to
+    calls raise ``call_error`` if it is set, and return ``refusal``.
+    ``silent_renewals`` is the number of renewals to leave without an answer.
+    ``lose_starts`` is the number of starts that go to
     ``late_starts`` without an answer, ``lose_paces`` the number of pace
     orders to lose. ``restarts_before_start`` makes the worker restart while the
     next start is under way, which is lost with its connection. ``no_ticket``
@@ -170,6 +172,7 @@
     refuse: bool = False
     call_error: Exception | None = None
     refusal: interfaces.OrderResult | None = None
+    silent_renewals: float = 0
     is_stalled: bool = False
     reports_full_progress: bool = False
     fails: bool = False
@@ -300,6 +303,10 @@
 
     async def renew_leases(self, renewal):
         await self._simulate_call()
+        if self.silent_renewals:
+            self.silent_renewals -= 1
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise errors.UnreachableError('no answer')
         if self.refusal is not None:
             return self.refusal
         if renewal.token < self.token:
@@ -323,7 +330,9 @@
             if self.ends or clock.now() >= deadline:
                 break
             await asyncio.sleep(0.01)
-            if self.mute:
+            if self.silent_renewals:
+                await asyncio.sleep(CALL_TIMEOUT_S)
+            if self.mute or self.silent_renewals:
                 raise errors.UnreachableError('no answer')
         return self._build_status()
 
