--- a/packages/jujubebend-cluster/src/jujubebend_cluster/interfaces.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/interfaces.py
@@ -142,8 +142,8 @@
     """A worker's answer to a lease renewal.
 
     ``clock`` is the worker's clock in seconds, and ``born`` its incarnation
-    number. ``running`` is None if the answer omits
-    the active runs. Without ``lists_all_ends`` there may be more ends, which
+    number. ``running`` is None if the answer omits the active runs. Without
+    ``lists_all_ends`` there may be more ends, which
     are listed once some of these are acknowledged.
     """
 
@@ -176,8 +176,9 @@
 class OrderResult(enum.Enum):
     """A worker's answer to an order.
 
-    OTHER_INCARNATION: another worker answered at the address. RESTARTED: a later
-    incarnation of the worker answered. Neither was sent the order.
+    OTHER_WORKER: another worker answered at the address. RESTARTED: another
+    incarnation of the worker answered, a later one if the order is meant for one
+    that has answered before. Neither was sent the order.
     """
 
     ACCEPTED = 'accepted'
@@ -188,7 +189,7 @@
     NO_TICKET = 'no_ticket'
     UNHEALTHY = 'unhealthy'
     INVALID = 'invalid'
-    OTHER_INCARNATION = 'other_life'
+    OTHER_WORKER = 'other_life'
     RESTARTED = 'restarted'
 
 
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/registry.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/registry.py
@@ -117,7 +117,8 @@
 
         The entry is no evidence: the record may be of a later incarnation, if
         the worker answered the former leader but could not reach the store, or
-        of an earlier one, if a restarted worker answered the start.
+        of an earlier one, if a restarted worker answered the start of a leader
+        of a former build.
         """
         for group in job.groups.values():
             for task in group.placed_tasks():
--- a/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/workercontroller.py
@@ -28,11 +28,6 @@
 # Distance of the fencing tokens of two epochs. Leaders of earlier builds count the
 # restarts of a worker between them.
 TOKENS_PER_EPOCH = 64
-# Answers to a stop that leave open whether the worker may still start the run.
-_INCONCLUSIVE_STOP_RESULTS = frozenset((
-    interfaces.OrderResult.UNHEALTHY,
-    interfaces.OrderResult.OTHER_INCARNATION,
-))
 
 
 class StatusListener(Protocol):
@@ -187,7 +182,7 @@
             except errors.UnreachableError:
                 await asyncio.sleep(STOP_RETRY_DELAY_S)
                 continue
-            if order_result in _INCONCLUSIVE_STOP_RESULTS:
+            if order_result is not interfaces.OrderResult.ACCEPTED:
                 await asyncio.sleep(STOP_RETRY_DELAY_S)
                 continue
             if task.run == run:
@@ -335,7 +330,7 @@
     async def _handle_refusal(
         self, order_result: interfaces.OrderResult, address: str
     ) -> None:
-        is_other = order_result is interfaces.OrderResult.OTHER_INCARNATION
+        is_other = order_result is interfaces.OrderResult.OTHER_WORKER
         if is_other and address == self._answered_address:
             # Where the worker has answered, another one shows that it is gone.
             # Elsewhere it shows that the entry is wrong.
--- a/tests/adapter/test_machines.py
+++ b/tests/adapter/test_machines.py
@@ -207,7 +207,7 @@
     ('status', 'document', 'expected'),
     [
         (409, {'reason': 'fence'}, interfaces.OrderResult.FENCED),
-        (421, {}, interfaces.OrderResult.OTHER_INCARNATION),
+        (421, {}, interfaces.OrderResult.OTHER_WORKER),
         (503, {}, interfaces.OrderResult.UNHEALTHY),
     ],
 )
--- a/tests/cluster/harness.py
+++ b/tests/cluster/harness.py
@@ -83,7 +83,7 @@
         if address == name:
             return self.workers[name]
         return fakecluster.Worker(
-            address, refusal=interfaces.OrderResult.OTHER_INCARNATION
+            address, refusal=interfaces.OrderResult.OTHER_WORKER
         )
 
     async def start_term(self, epoch=1):
--- a/tests/cluster/test_incarnations.py
+++ b/tests/cluster/test_incarnations.py
@@ -284,7 +284,7 @@
         await harness.wait_until(lambda: harness.find_starts(cluster, 'j'))
         cluster.list_worker(second)
         first.crash(restart=True)
-        first.refusal = interfaces.OrderResult.OTHER_INCARNATION
+        first.refusal = interfaces.OrderResult.OTHER_WORKER
         await harness.wait_until(lambda: second.started, seconds=1.5)
 
     _run(scenario)
@@ -311,7 +311,7 @@
 @pytest.mark.parametrize(
     'refusal',
     [
-        interfaces.OrderResult.OTHER_INCARNATION,
+        interfaces.OrderResult.OTHER_WORKER,
         interfaces.OrderResult.UNHEALTHY,
     ],
 )
@@ -337,6 +337,30 @@
     virtualtime.run(main)
 
 
+def test_a_stop_reaches_the_incarnation_that_lists_the_run():
+    """Guards against a cancelled task that works on after a refused stop.
+
+    A leader of a former build started the run in an incarnation that the store
+    does not name yet. The next leader's first stops are meant for the one that
+    the entry names.
+    """
+
+    async def scenario(cluster):
+        _, first, _ = await _lead_with_one_usable_worker(cluster)
+        first.seconds = 60
+        first.restarts_before_start = True
+        cluster.submit_job(fakecluster.job('j'))
+        await harness.wait_until(lambda: harness.find_starts(cluster, 'j'))
+        await cluster.kill_leader()
+        first.silent_renewals = 2
+        term = await cluster.start_term(2)
+        await harness.wait_until(lambda: 'w1' in term.leader.controllers)
+        cluster.cancel('j')
+        await harness.wait_until(lambda: not first.runs, seconds=6)
+
+    _run(scenario, _WorkerOfFormerBuilds)
+
+
 def test_a_restarted_worker_gets_no_work_before_it_has_answered_a_renewal():
     """Guards against starts that the next incarnation refuses again and again.
 
