--- a/tests/http/test_httpclient.py
+++ b/tests/http/test_httpclient.py
@@ -84,3 +84,37 @@
         server.close()
 
     asyncio.run(main())
+
+
+def test_a_request_that_cannot_follow_its_question_is_not_sent():
+    """Guards against an error that leaves open whether a request was sent.
+
+    A server may close each connection after one answer, also the one on which
+    the recipient of the request has answered.
+    """
+    requests = []
+
+    async def answer_once(reader, writer):
+        requests.append(await reader.readuntil(b'\r\n\r\n'))
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nconnection: close\r\n'
+            b'content-length: 1\r\n\r\n1'
+        )
+        await writer.drain()
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(answer_once, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        client = httpclient.Client(f'127.0.0.1:{port}')
+        recipient = httpclient.Recipient(
+            1, '/who', b'', lambda reply: int(reply.body)
+        )
+        with pytest.raises(errors.NotSentError):
+            await client.call(
+                'POST', '/do', b'x', timeout=1, recipient=recipient
+            )
+        assert len(requests) == 1
+        server.close()
+
+    asyncio.run(main())
