--- a/packages/jujubebend-cluster/src/jujubebend_cluster/interfaces.py
+++ b/packages/jujubebend-cluster/src/jujubebend_cluster/interfaces.py
@@ -143,8 +143,8 @@
 
     ``clock`` is the worker's clock in seconds, and ``born`` its incarnation
     number. ``running`` is None if the answer omits the active runs. Without
-    ``lists_all_ends`` there may be more ends, which
-    are listed once some of these are acknowledged.
+    ``lists_all_ends`` there may be more ends, which are listed once some of
+    these are acknowledged.
     """
 
     clock: float
--- a/packages/jujubebend-http/src/jujubebend_http/httpclient.py
+++ b/packages/jujubebend-http/src/jujubebend_http/httpclient.py
@@ -47,7 +47,11 @@
         return conn.identity is not None and conn.identity == self.identity
 
     def may_serve(self, conn: _Connection) -> bool:
-        """Return whether no other process is known to serve a connection."""
+        """Return whether a connection is worth asking.
+
+        It is not if another process has answered on it. Without an identity
+        any process may answer.
+        """
         return self.identity is None or conn.identity in {None, self.identity}
 
 
--- a/tests/fakecluster.py
+++ b/tests/fakecluster.py
@@ -147,21 +147,19 @@
 class Worker:
     """A worker whose tasks take ``seconds`` each.
 
-    ``mute`` leaves calls without an answer, ``refuse`` refuses connections,
-    calls raise ``call_error`` if it is set, and return ``refusal``.
-    ``silent_renewals`` is the number of renewals to leave without an answer.
-    ``lose_starts`` is the number of starts that go to
-    ``late_starts`` without an answer, ``lose_paces`` the number of pace
+    ``mute`` leaves calls without an answer, ``refuse`` refuses connections, calls
+    raise ``call_error`` if it is set, and return ``refusal``. ``silent_renewals``
+    is the number of renewals to leave without an answer, ``lose_starts`` that of
+    starts that go to ``late_starts`` without one, ``lose_paces`` that of pace
     orders to lose. ``restarts_before_start`` makes the worker restart while the
     next start is under way, which is lost with its connection. ``no_ticket``
-    refuses starts for want of a ticket. ``is_stalled`` stops the progress of all runs, ``reports_full_progress``
-    makes them report 100 percent, and ``fails`` makes them fail.
-    ``tail_latency_s`` returns the usage that runs report.
+    refuses starts for want of a ticket. ``is_stalled`` stops the progress of all
+    runs, ``reports_full_progress`` makes them report 100 percent, and ``fails``
+    makes them fail. ``tail_latency_s`` returns the usage that runs report.
 
     ``born`` is the incarnation number. Calls that are meant for another one reach
-    none. ``highest_runs`` maps a task to its
-    highest run number, ``started`` lists each start as (task, run), and
-    ``start_times`` as (task, run, time).
+    none. ``highest_runs`` maps a task to its highest run number, ``started`` lists
+    each start as (task, run), and ``start_times`` as (task, run, time).
     """
 
     name: str
