--- a/tests/cluster/faultyworker.py
+++ b/tests/cluster/faultyworker.py
@@ -82,7 +82,7 @@
 
     async def stop(self, task, run, token, incarnation):
         async def call():
-            return self._apply_stop(task, run, token)
+            return self.apply_stop(task, run, token)
 
         answer = await self._call_bound(call, incarnation, ORDER_TIMEOUT_S)
         return answer or interfaces.OrderResult.RESTARTED
@@ -157,16 +157,6 @@
         if self.born != born:
             raise errors.UnreachableError('the connection is lost')
 
-    def _apply_stop(self, task, run, token):
-        self._end_due_runs()
-        if token < self.token:
-            return interfaces.OrderResult.FENCED
-        self.highest_runs[task] = max(self.highest_runs.get(task, 0), run)
-        active = self.runs.get(task)
-        if active is not None and active.order.run == run:
-            self._end_run(task, interfaces.RunOutcome.STOPPED, clock.now())
-        return interfaces.OrderResult.ACCEPTED
-
     async def _answer_status_call(self, renewal):
         await self._delay(0.5)
         await self._simulate_call()
--- a/tests/fakecluster.py
+++ b/tests/fakecluster.py
@@ -275,6 +275,10 @@
             return self.refusal
         if incarnation != self.born:
             return interfaces.OrderResult.RESTARTED
+        return self.apply_stop(task, run, token)
+
+    def apply_stop(self, task, run, token):
+        """Apply a stop order, also one that arrives late."""
         self._end_due_runs()
         if token < self.token:
             return interfaces.OrderResult.FENCED
